Stop requests the application never sent before they reach an upstream

Of 18,000 attempts, 630 to 690 ended in errors within a millisecond, and the upstreams said 400 or 404 to them: requests without an id, copies of a request just served, heads of 200 kB, a length beside a chunked body. The module booked each as a failure of the server, priced as a time-out, struck it for ejection and spent the retry budget on the next.

They are now answered with a 4xx at the door: an id that is missing or has been used, a method or key that is not the class's, chunked framing (the library drops the length that stands beside it, so that a hidden second request can't be told), a head over 16 kB.

Ruled out: upstreams that fail by themselves.

--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -1,4 +1,7 @@
 //! The application's side: reads its requests, hands them to the driver and writes the answers.
+//!
+//! Anyone may connect. What is no proper request of the application's goes no further: an upstream would
+//! answer it with an error, and the module would book that as the upstream's own.
 
 use crate::config::{Config, flat_name};
 use crate::driver::{Answer, Handle, Inbound};
@@ -6,15 +9,18 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use micapier::api::Origin;
+use micapier::api::{Origin, Repeat};
+use std::collections::HashSet;
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::hash::{BuildHasher, RandomState};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
@@ -33,6 +39,11 @@
     "upgrade",
     "x-budget",
 ];
+/// The most that is read ahead on a connection, and so the longest head of a request: some times that of the
+/// longest the application sends, and little enough that a peer on every connection cannot fill the memory.
+const MAX_HEAD: usize = 16 * 1024;
+/// So many request ids are remembered at least. A copy comes while its original is out or soon after.
+const REMEMBERED: usize = 8_192;
 /// The wait after an accept that failed, as when there are no descriptors left.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 /// Where there is no room, connections are asked again after this time to give way, and one that has carried
@@ -40,10 +51,34 @@
 const GIVE_WAY: Duration = Duration::from_secs(1);
 const FIRST_REQUEST: Duration = Duration::from_secs(5);
 
+/// The answer to what is no proper request.
+type Improper = (StatusCode, &'static str);
+
+/// The ids of the latest requests: each is new, so a second one is a copy that its client never sent.
+/// Two generations keep the memory bounded; the keys are hashes, secret from whoever picks the ids.
+#[derive(Default)]
+struct Seen {
+    keys: RandomState,
+    young: HashSet<u64>,
+    old: HashSet<u64>,
+}
+
+impl Seen {
+    /// Takes an id in; `false` if it has been here.
+    fn is_new(&mut self, id: &[u8]) -> bool {
+        let key = self.keys.hash_one(id);
+        if self.young.len() >= REMEMBERED {
+            self.old = std::mem::take(&mut self.young);
+        }
+        !self.old.contains(&key) && self.young.insert(key)
+    }
+}
+
 /// Shared by all connections of the application.
 pub struct Server {
     config: Arc<Config>,
     driver: Handle,
+    seen: Mutex<Seen>,
     draining: AtomicBool,
     /// Bumped to close connections that are between requests.
     close_idle: watch::Sender<()>,
@@ -58,6 +93,7 @@
         Arc::new(Server {
             config,
             driver,
+            seen: Mutex::default(),
             draining: AtomicBool::new(false),
             close_idle: watch::Sender::new(()),
             room: Arc::new(Semaphore::new(most)),
@@ -126,7 +162,8 @@
             async move { Ok::<_, Infallible>(server.answer(request).await) }
         });
         let mut close_idle = self.close_idle.subscribe();
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection =
+            http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         loop {
             tokio::select! {
@@ -166,25 +203,29 @@
     }
 
     /// Guards against requests that can't be read: they are answered as failed, and go nowhere.
-    async fn read(
-        &self, request: Request<Incoming>, since: Instant,
-    ) -> Result<Inbound, (StatusCode, &'static str)> {
+    async fn read(&self, request: Request<Incoming>, since: Instant) -> Result<Inbound, Improper> {
         let (head, body) = request.into_parts();
-        let text = |name| head.headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
-        let seconds = |name| {
-            let seconds = text(name)?.trim().parse::<f64>().ok()?;
-            Duration::try_from_secs_f64(seconds).ok()
-        };
-        let class = text("x-call-class").map(flat_name);
+        let bad = |why| (StatusCode::BAD_REQUEST, why);
+        let class = text(&head.headers, "x-call-class").map(flat_name);
         let class = self.config.surroundings.classes.iter().position(|name| Some(name) == class.as_ref());
-        let class = class.ok_or((StatusCode::BAD_REQUEST, "no such class"))?;
-        let budget = seconds("x-budget").ok_or((StatusCode::BAD_REQUEST, "no readable budget"))?;
-        let cost = text("x-call-cost").and_then(|us| us.trim().parse::<f64>().ok());
+        let class = class.ok_or(bad("no such class"))?;
+        let budget = seconds(&head.headers, "x-budget").ok_or(bad("no readable budget"))?;
+        let repeat = self.config.settings.classes.get(class).ok_or(bad("no such class"))?.repeat;
+        check(&head, repeat)?;
+        let cost = text(&head.headers, "x-call-cost").and_then(|us| us.trim().parse::<f64>().ok());
         let cost = cost.and_then(|us| Duration::try_from_secs_f64(us / 1e6).ok());
-        let origin = if text("x-again") == Some("1") { Origin::ClientRetry } else { Origin::Fresh };
+        let again = text(&head.headers, "x-again") == Some("1");
+        let origin = if again { Origin::ClientRetry } else { Origin::Fresh };
         let body = timeout(budget, Limited::new(body, MAX_BODY).collect()).await;
         let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "a body that does not end"))?;
         let body = body.map_err(|_| (StatusCode::PAYLOAD_TOO_LARGE, "a broken or too long body"))?.to_bytes();
+        if repeat == Repeat::Safe && !body.is_empty() {
+            return Err(bad("a body where the class has none"));
+        }
+        let id = head.headers.get("x-call-id").filter(|id| !id.is_empty()).ok_or(bad("no id"))?;
+        if !self.seen.lock().unwrap_or_else(PoisonError::into_inner).is_new(id.as_bytes()) {
+            return Err(bad("an id that has been used"));
+        }
         let mut headers = head.headers;
         KEPT_BACK.iter().for_each(|name| drop(headers.remove(*name)));
         headers.entry(HOST).or_insert(HeaderValue::from_static("origin.svc"));
@@ -193,6 +234,32 @@
     }
 }
 
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn seconds(headers: &HeaderMap, name: &str) -> Option<Duration> {
+    Duration::try_from_secs_f64(text(headers, name)?.trim().parse::<f64>().ok()?).ok()
+}
+
+/// Is this head one that the application sends for a request that may be repeated so?
+fn check(head: &Parts, repeat: Repeat) -> Result<(), Improper> {
+    let key = head.headers.get("idempotency-key").is_some_and(|key| !key.is_empty());
+    if head.method != if repeat == Repeat::Safe { Method::GET } else { Method::POST } {
+        return Err((StatusCode::BAD_REQUEST, "not the method of the class"));
+    }
+    // Guards against repeating what no upstream could tell from the first.
+    if matches!(repeat, Repeat::Keyed { .. }) && !key {
+        return Err((StatusCode::BAD_REQUEST, "no key"));
+    }
+    // Guards against a second request hidden in the body of the first: where both framings are given, the
+    // length is gone by now, and with it the means to tell that they differ.
+    if head.headers.contains_key(TRANSFER_ENCODING) {
+        return Err((StatusCode::LENGTH_REQUIRED, "a body without a length"));
+    }
+    Ok(())
+}
+
 fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -15,13 +15,13 @@
 fn a_request_is_passed_on_unchanged_and_its_answer_as_it_is() {
     let upstream = Upstream::start(|_| ok("\u{0}the answer"));
     let sidecar = Sidecar::start(&[&upstream]);
-    let answer =
-        sidecar.ask(&call("pay", 2.0).header("Idempotency-Key", "k1").path("/api?x=1%20y").body("hello"));
+    let call = call("report", 2.0).header("X-Call-Id", "call-x").header("Idempotency-Key", "k1");
+    let answer = sidecar.ask(&call.path("/api?x=1%20y").body("hello"));
     assert_eq!((answer.status, answer.body.as_str()), (200, "\u{0}the answer"));
     let seen = upstream.requests();
     assert_eq!(seen.len(), 1);
     assert_eq!((seen[0].line.as_str(), seen[0].body.as_str()), ("POST /api?x=1%20y HTTP/1.1", "hello"));
-    assert_eq!(seen[0].header("x-call-id"), Some("call-1"));
+    assert_eq!(seen[0].header("x-call-id"), Some("call-x"));
     assert_eq!(seen[0].header("idempotency-key"), Some("k1"));
     let budget: f64 = seen[0].header("x-budget").expect("a budget").parse().expect("seconds");
     assert!(budget > 0.5 && budget < 2.0, "room is left for the answer's own way: {budget}");
@@ -149,6 +149,41 @@
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
 }
 
+#[test]
+fn what_the_application_never_sent_reaches_no_upstream_and_harms_none() {
+    // As upstreams do, this one answers with an error what it can't take for a request of the application.
+    let upstream = Upstream::start(|_| Reply::text(400, "", ""));
+    let sidecar = Sidecar::start(&[&upstream]);
+    let padding = "p".repeat(20_000);
+    let bad = [
+        ("no id", call("pay", 5.0).without("X-Call-Id")),
+        ("an empty id", call("pay", 5.0).header("X-Call-Id", "")),
+        ("not its class's method", call("pay", 5.0).method("GET")),
+        ("not its class's method", call("look", 5.0).method("POST")),
+        ("a body where there is none", call("look", 5.0).method("GET").body("x")),
+        ("a keyed one without its key", call("report", 5.0)),
+        ("two framings", call("pay", 5.0).header("Transfer-Encoding", "chunked").body("0\r\n\r\nGET /")),
+        ("a head without end", call("pay", 5.0).header("X-Pad", &padding)),
+    ];
+    for (what, call) in bad {
+        let status = sidecar.ask(&call).status;
+        assert!((400..500).contains(&status) && status != 429, "{what}: {status}");
+    }
+    assert!(upstream.requests().is_empty(), "{:?}", upstream.requests());
+}
+
+#[test]
+fn a_copy_of_a_request_reaches_no_upstream_while_its_original_is_served() {
+    let upstream = Upstream::start(|_| ok("served"));
+    let sidecar = Sidecar::start(&[&upstream]);
+    for _ in 0..3 {
+        let original = call("look", 5.0).method("GET");
+        assert_eq!(sidecar.ask(&original).status, 200);
+        assert_eq!(sidecar.ask(&original.path("/api?x=1")).status, 400);
+    }
+    assert_eq!(upstream.requests().len(), 3);
+}
+
 #[test]
 fn what_comes_malformed_from_an_upstream_is_a_failure_and_no_panic() {
     for raw in [
@@ -347,9 +382,10 @@
             config["known"]["members"][1]["cell"] = json!(other_cell);
         });
         for _ in 0..15 {
-            assert_eq!(sidecar.ask(&call("report", 2.0)).status, 200);
+            assert_eq!(sidecar.ask(&call("report", 2.0).header("Idempotency-Key", "k")).status, 200);
         }
-        assert_eq!(sidecar.ask(&call("report", 2.0)).status, status, "cell {other_cell}");
+        let last = call("report", 2.0).header("Idempotency-Key", "k");
+        assert_eq!(sidecar.ask(&last).status, status, "cell {other_cell}");
         assert_eq!(both[0].requests().len() + both[1].requests().len(), sent, "cell {other_cell}");
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -279,24 +279,38 @@
 
 /// A request of the application.
 pub struct Call {
+    method: &'static str,
     path: String,
     headers: Vec<(String, String)>,
     body: String,
 }
 
+/// Each has an id of its own.
 pub fn call(class: &str, budget: f64) -> Call {
-    let headers = [("Host", "origin.svc"), ("X-Call-Id", "call-1"), ("X-Call-Class", class)];
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let id = format!("call-{}", NUMBER.fetch_add(1, Ordering::SeqCst));
+    let headers = [("Host", "origin.svc"), ("X-Call-Id", id.as_str()), ("X-Call-Class", class)];
     let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned())).to_vec();
-    Call { path: "/api".into(), headers, body: String::new() }.header("X-Budget", &budget.to_string())
+    let call = Call { method: "POST", path: "/api".into(), headers, body: String::new() };
+    call.header("X-Budget", &budget.to_string())
 }
 
 impl Call {
     pub fn header(mut self, name: &str, value: &str) -> Call {
-        self.headers.retain(|(other, _)| other != name);
+        self = self.without(name);
         self.headers.push((name.into(), value.into()));
         self
     }
 
+    pub fn without(mut self, name: &str) -> Call {
+        self.headers.retain(|(other, _)| other != name);
+        self
+    }
+
+    pub fn method(self, method: &'static str) -> Call {
+        Call { method, ..self }
+    }
+
     pub fn path(self, path: &str) -> Call {
         Call { path: path.into(), ..self }
     }
@@ -308,8 +322,8 @@
     pub fn text(&self) -> String {
         let headers: String =
             self.headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
-        let (path, length) = (&self.path, self.body.len());
-        format!("POST {path} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n{}", self.body)
+        let (method, path, length) = (self.method, &self.path, self.body.len());
+        format!("{method} {path} HTTP/1.1\r\n{headers}Content-Length: {length}\r\n\r\n{}", self.body)
     }
 }
 
@@ -370,6 +384,7 @@
                     {"name": "pay", "idempotency": "fragile", "aim": 5000.0, "deadline": 20000.0},
                     {"name": "report", "idempotency": "dedup", "group": "cell", "dedupWindow": 7500.0,
                      "aim": 5000.0, "deadline": 20000.0},
+                    {"name": "look", "idempotency": "retryable", "aim": 5000.0, "deadline": 20000.0},
                 ],
             },
         });
