Keep one slow server from narrowing the window of all

Each late answer cut the sidecar's whole window of attempts in flight by a tenth.

A late answer of a server whose average is over three times the median of all samples no longer narrows the window: it tells of that server. Where the fleet is crowded the median rises with the averages, and all still count.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -25,6 +25,9 @@
 const WINDOW_STEP: f64 = 0.3;
 const WINDOW_CUT: f64 = 0.1;
 const WINDOW_FLOOR: f64 = 0.5;
+/// A server whose average is this many times the median sample is slow by itself. Where all are crowded the
+/// median rises with them.
+const OUTLIER: f64 = 3.0;
 /// A request is held for this share of the time to spare before its aim, and told to come back after it.
 const HOLD: f64 = 0.25;
 /// A peak over some tens of answers is about this many times their mean (if they scatter exponentially).
@@ -65,14 +68,18 @@
     }
 
     /// The average as of now. Old news fades towards what the server usually shows, so that a quiet
-    /// sidecar keeps in mind which are slow; that, and what has no samples, towards the others. An
-    /// attempt out for longer than the average speaks by its age.
-    pub(crate) fn latency(&self, now: f64, typical: f64) -> f64 {
+    /// sidecar keeps in mind which are slow; that, and what has no samples, towards the others.
+    fn average(&self, now: f64, typical: f64) -> f64 {
         let age = (now - self.stamp) / TAU_MS;
         let usual = if self.usual > 0.0 { self.usual } else { typical };
         let usual = typical + (usual - typical) * (-age * USUAL_GAIN).exp();
-        let ewma = self.ewma.map_or(typical, |ewma| usual + (ewma - usual) * (-age).exp());
-        self.flights.first().map_or(ewma, |oldest| ewma.max((now - oldest.sent) * oldest.scale))
+        self.ewma.map_or(typical, |ewma| usual + (ewma - usual) * (-age).exp())
+    }
+
+    /// What to expect there now: an attempt out for longer than the average speaks by its age.
+    pub(crate) fn latency(&self, now: f64, typical: f64) -> f64 {
+        let average = self.average(now, typical);
+        self.flights.first().map_or(average, |oldest| average.max((now - oldest.sent) * oldest.scale))
     }
 }
 
@@ -216,8 +223,8 @@
                 let late = |a: &&mut Attempt| a.fate == Fate::Out && !a.late && a.sent < late;
                 if let Some(attempt) = request.attempts.iter_mut().find(late) {
                     attempt.late = true;
-                    let sent = attempt.sent;
-                    self.narrow(sent);
+                    let (server, sent) = (attempt.server, attempt.sent);
+                    self.narrow(server, sent);
                 }
             }
             _ => {}
@@ -510,7 +517,7 @@
         self.note_held(of, sample);
         self.means[job.class].observe(took, job.cost, MEAN_GAIN);
         if took > job.aim && !of.late {
-            self.narrow(of.sent);
+            self.narrow(of.server, of.sent);
         } else if took <= job.aim && self.in_flight() + 2.0 > self.limit() {
             self.window += WINDOW_STEP.min(self.limit() * WINDOW_CUT) / self.capacity();
         }
@@ -538,21 +545,28 @@
             Outcome::Full => (took.max(of.timeout), false, true),
             _ => (took.max(of.timeout), true, false),
         };
-        if outcome != Outcome::Cancelled || sample > server.latency(now, typical) {
+        let known = server.latency(now, typical);
+        if load && !of.late && (took > job.aim || outcome == Outcome::Full) {
+            self.narrow(of.server, of.sent);
+        }
+        let Some(server) = self.servers.get_mut(&of.server) else { return };
+        if outcome != Outcome::Cancelled || sample > known {
             server.fold(now, sample);
         }
         self.note_typical(sample);
-        if load && !of.late && (took > job.aim || outcome == Outcome::Full) {
-            self.narrow(of.sent);
-        }
         if blame {
             self.strike(of.server, out);
         }
     }
 
     /// Guards against crowding: a late attempt narrows the window of attempts in flight, an answer in time
-    /// widens it again while it is in full use. All that were out together tell of one crowd.
-    fn narrow(&mut self, sent: f64) {
+    /// widens it again while it is in full use. All that were out together tell of one crowd; one at a server
+    /// known as far slower than the rest tells of that server alone, and the score sees to it.
+    fn narrow(&mut self, server: ServerId, sent: f64) {
+        let outlier = |s: &Server| s.average(self.now, self.typical) > OUTLIER * self.typical;
+        if self.servers.get(&server).is_some_and(outlier) {
+            return;
+        }
         if sent >= self.narrowed_at {
             (self.narrowed_at, self.narrowest) = (self.now, self.window * WINDOW_FLOOR);
         }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -376,6 +376,39 @@
     assert!(sent(&rig.ask().1).is_none(), "and nothing new piles up");
 }
 
+/// A request every 5 ms for this long, each answered after `took`: how many were refused.
+fn refused_of_a_stream(rig: &mut Rig, time: u64, took: impl Fn(ServerId) -> u64) -> usize {
+    let mut out: Vec<(u64, RequestId, u64)> = vec![];
+    let (from, end) = (rig.log.len(), rig.now + time);
+    let mut seen = from;
+    while rig.now < end {
+        rig.ask();
+        rig.wait(5);
+        let (due, later) = out.iter().partition(|(at, ..)| *at <= rig.now);
+        out = later;
+        let due: Vec<(u64, RequestId, u64)> = due;
+        due.into_iter().for_each(|(_, id, took)| drop(rig.end(id, 0, Outcome::Ok, took)));
+        for (at, action) in &rig.log[seen..] {
+            if let Action::Send { id, server, .. } = action {
+                out.push((at + took(*server), *id, took(*server)));
+            }
+        }
+        seen = rig.log.len();
+    }
+    rig.log[from..].iter().filter(|(_, a)| matches!(a, Action::Refuse { .. })).count()
+}
+
+#[test]
+fn one_slow_server_narrows_no_window_but_a_slow_fleet_does() {
+    // Guards against incident page5268: while one server of ten was slow, a tenth of the requests was refused.
+    let mut rig = rig(Repeat::Unsafe, 8);
+    assert_eq!(refused_of_a_stream(&mut rig, 3_000, |_| 50), 0);
+    let refused = refused_of_a_stream(&mut rig, 6_000, |s| if s == ServerId(1) { 600 } else { 50 });
+    assert!(refused < 120, "{refused} of 1200, while the first answers show which it is");
+    let refused = refused_of_a_stream(&mut rig, 6_000, |_| 600);
+    assert!(refused > 300, "{refused} of 1200");
+}
+
 #[test]
 fn the_worthiest_of_the_held_goes_first() {
     let mut dear = class(SAFE);
