Close silent peers and answer slow ones within the limit of 3 s

A peer that sent nothing, or half a head, was let go only when there was no room left and it was 5 s old; half a body was waited for as long as the peer itself said, in X-Budget.

A connection without a head of a request is closed after 2.1 s, a body may take 0.6 s after it.

--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -14,7 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use micapier::api::{Origin, Repeat};
 use std::collections::HashSet;
 use std::convert::Infallible;
@@ -46,10 +46,13 @@
 const REMEMBERED: usize = 8_192;
 /// The wait after an accept that failed, as when there are no descriptors left.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
-/// Where there is no room, connections are asked again after this time to give way, and one that has carried
-/// nothing for so long has to.
+/// Where there is no room, connections are asked again after this time to give way.
 const GIVE_WAY: Duration = Duration::from_secs(1);
-const FIRST_REQUEST: Duration = Duration::from_secs(5);
+/// A connection is closed when no head of a request has come for so long, and a request is answered as failed
+/// when its body takes so long after that. Whoever connects is owed an error or a close within 3 s in all,
+/// and a connection without a request is not to be closed before 2 s.
+const HEAD_PATIENCE: Duration = Duration::from_millis(2_100);
+const BODY_PATIENCE: Duration = Duration::from_millis(600);
 
 /// The answer to what is no proper request.
 type Improper = (StatusCode, &'static str);
@@ -153,7 +156,7 @@
     async fn serve(self: Arc<Self>, stream: TcpStream) {
         // Without it answers are merely slower.
         drop(stream.set_nodelay(true));
-        let (opened, used) = (Instant::now(), AtomicBool::new(false));
+        let used = AtomicBool::new(false);
         let service = service_fn(|request| {
             if !used.swap(true, Ordering::Relaxed) {
                 self.used.fetch_add(1, Ordering::Relaxed);
@@ -162,19 +165,18 @@
             async move { Ok::<_, Infallible>(server.answer(request).await) }
         });
         let mut close_idle = self.close_idle.subscribe();
-        let connection =
-            http1::Builder::new().max_buf_size(MAX_HEAD).serve_connection(TokioIo::new(stream), service);
+        let mut http = http1::Builder::new();
+        http.max_buf_size(MAX_HEAD).timer(TokioTimer::new()).header_read_timeout(HEAD_PATIENCE);
+        let connection = http.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         loop {
             tokio::select! {
                 // Whatever ends it, whoever waited on it has left.
                 _ = connection.as_mut() => break,
                 _ = close_idle.changed() => {
-                    // Guards against closing on a newcomer whose first request is on its way, but not for ever.
+                    // Guards against closing on a newcomer whose first request is on its way.
                     if used.load(Ordering::Relaxed) {
                         connection.as_mut().graceful_shutdown();
-                    } else if opened.elapsed() > FIRST_REQUEST {
-                        break;
                     }
                 }
             }
@@ -216,7 +218,7 @@
         let cost = cost.and_then(|us| Duration::try_from_secs_f64(us / 1e6).ok());
         let again = text(&head.headers, "x-again") == Some("1");
         let origin = if again { Origin::ClientRetry } else { Origin::Fresh };
-        let body = timeout(budget, Limited::new(body, MAX_BODY).collect()).await;
+        let body = timeout(budget.min(BODY_PATIENCE), Limited::new(body, MAX_BODY).collect()).await;
         let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "a body that does not end"))?;
         let body = body.map_err(|_| (StatusCode::PAYLOAD_TOO_LARGE, "a broken or too long body"))?.to_bytes();
         if repeat == Repeat::Safe && !body.is_empty() {
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -172,6 +172,29 @@
     assert!(upstream.requests().is_empty(), "{:?}", upstream.requests());
 }
 
+#[test]
+fn a_silent_or_slow_peer_is_shown_out_however_long_it_says_it_waits() {
+    let upstream = Upstream::start(|_| ok("served"));
+    let sidecar = Sidecar::start(&[&upstream]);
+    let slow = [
+        ("nothing at all", String::new()),
+        ("half a head", "POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Call-".into()),
+        ("half a body", call("pay", 600.0).body("the whole").text().replace("the whole", "the")),
+    ];
+    let peers = slow.map(|(what, text)| {
+        let mut peer = sidecar.connect();
+        peer.write_all(text.as_bytes()).expect("written");
+        (what, peer)
+    });
+    for (what, mut peer) in peers {
+        let mut said = String::new();
+        // Within the 30 s that a read may take here; what the peer itself names is 600.
+        peer.read_to_string(&mut said).unwrap_or_else(|error| panic!("{what}: {error}"));
+        assert!(said.is_empty() || said.starts_with("HTTP/1.1 4"), "{what}: {said}");
+    }
+    assert!(upstream.requests().is_empty());
+}
+
 #[test]
 fn a_copy_of_a_request_reaches_no_upstream_while_its_original_is_served() {
     let upstream = Upstream::start(|_| ok("served"));
