Refuse at once a try with less time than the median answer takes

A try whose patience is under the median sample, and under half its aim, is refused at once with the advice to come back. A first try waits for longer than its aim and is never refused by this.

Ruled out: refusing what has less time than its own expected answer takes.

--- a/tests/module.rs
+++ b/tests/module.rs
@@ -498,6 +498,21 @@
     assert_eq!(first, Some(fresh));
 }
 
+#[test]
+fn a_last_try_with_less_time_than_the_median_answer_takes_is_refused_at_once() {
+    // Guards against incident page6344: hundreds of tries with 20 ms left were sent, ran and timed out.
+    let mut rig = rig(SAFE, 4);
+    rig.serve_many(60, |_| 60);
+    for patience in [1, 30] {
+        let said = rig.ask_as(0, patience).1;
+        assert!(matches!(said[..], [Action::Refuse { retry_after: Some(_), .. }]), "{patience}: {said:?}");
+    }
+    assert!(sent(&rig.ask_as(0, 90).1).is_some());
+    // However slow the fleet, a try that waits for its aim is sent.
+    rig.serve_many(60, |_| 390);
+    assert!(sent(&rig.ask_as(0, 400).1).is_some());
+}
+
 #[test]
 fn a_refused_client_is_told_to_come_back_while_it_can_be_served_in_time() {
     let mut rig = rig(SAFE, 1);
