--- a/src/balance.rs
+++ b/src/balance.rs
@@ -153,10 +153,11 @@
         // its first try, and may have waited for all that its deadline leaves besides its patience.
         let repeat = arrival.origin == Origin::ClientRetry;
         let spent = if repeat { (ms(kind.deadline) - patience).max(0.0) } else { 0.0 };
-        // Guards against the last tries of clients that have nearly given up: the median answer would come too
-        // late for them, and the work be wasted. A first try waits for longer than its aim.
+        // Guards against the last tries of clients that have nearly given up: the median answer would come
+        // too late for them, and the work be wasted. A first try waits for longer than its aim.
         if patience < self.typical.min(whole_aim / 2.0) {
-            let retry_after = self.settings.max_retry_after.map(|most| most.min(duration(whole_aim / 2.0)));
+            let advice = duration(whole_aim / 2.0);
+            let retry_after = self.settings.max_retry_after.map(|most| most.min(advice));
             return out.push(Action::Refuse { id, retry_after });
         }
         let (aim, aim_at) = (whole_aim.min(patience), self.now + (whole_aim - spent).min(patience));
