Learn how long an idle connection to an upstream stays good

Nothing shows on the connection before it is used.

The pool now counts, by idle time, the requests and those that end as resets, and does not use connections older than where the share rises by a fifth over that of the younger. The counts halve in 10 s, so that it is tried again.

Ruled out: a race with the upstream's own idle time (10% of it is kept as a margin; breaks begin at 2% of it), and one bad upstream (28 to 62% at each). What breaks at any age is left: it may have run, and the class decides.

--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod discovery;
 mod driver;
+mod idle;
 mod server;
 mod upstream;
 
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -3,6 +3,7 @@
 //! The pool is our own, since those of client libraries send a request again by themselves when a kept
 //! connection breaks under it, and so may run it twice.
 
+use crate::idle::IdleLimit;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Body;
@@ -86,6 +87,8 @@
 /// A connection and its place under the limit.
 struct Pooled {
     connection: TcpConnection<Full<Bytes>>,
+    /// How long it stood idle before this use.
+    idle_for: Duration,
     _slot: Slot,
 }
 
@@ -98,6 +101,7 @@
 #[derive(Clone)]
 pub struct Upstreams {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    learned: Arc<Mutex<IdleLimit>>,
     open: Arc<AtomicUsize>,
     most: usize,
     keep: Duration,
@@ -107,26 +111,33 @@
 impl Upstreams {
     pub fn new(most: usize, keep_alive: Duration, connect_timeout: Duration) -> Self {
         let (idle, open) = Default::default();
-        Upstreams { idle, open, most, keep: keep_alive - keep_alive / IDLE_MARGIN, connect_timeout }
+        let learned = Arc::new(Mutex::new(IdleLimit::new(Instant::now())));
+        Upstreams { idle, learned, open, most, keep: keep_alive - keep_alive / IDLE_MARGIN, connect_timeout }
     }
 
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn learned(&self) -> MutexGuard<'_, IdleLimit> {
+        self.learned.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Closes what is kept to upstreams that have left.
     pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
         self.idle().retain(|addr, _| keep(addr));
     }
 
     /// The connection used last that is still good. Guards against one that its upstream has closed, or is
-    /// about to: a request on it would end as a reset, and might have run.
+    /// about to, or that has broken unseen: a request on it would end as a reset, and might have run.
     fn kept(&self, addr: SocketAddr) -> Option<Pooled> {
+        let keep = self.learned().limit(Instant::now()).map_or(self.keep, |learned| learned.min(self.keep));
         let mut idle = self.idle();
         for list in idle.values_mut() {
-            list.retain(|i| i.since.elapsed() < self.keep && i.pooled.connection.sender.is_ready());
+            list.retain(|i| i.since.elapsed() < keep && i.pooled.connection.sender.is_ready());
         }
-        idle.get_mut(&addr)?.pop().map(|idle| idle.pooled)
+        let Idle { pooled, since } = idle.get_mut(&addr)?.pop()?;
+        Some(Pooled { idle_for: since.elapsed(), ..pooled })
     }
 
     fn keep(&self, addr: SocketAddr, pooled: Pooled) {
@@ -158,7 +169,7 @@
         let by = by.min(Instant::now() + self.connect_timeout);
         let mut connection = timeout_at(by, TcpConnection::open(addr)).await.ok()?.ok()?;
         connection.sender.ready().await.ok()?;
-        Some(Pooled { connection, _slot: slot })
+        Some(Pooled { connection, idle_for: Duration::ZERO, _slot: slot })
     }
 
     /// One attempt, from choosing a connection to the end of the answer. `answered` is told first, then the
@@ -208,6 +219,7 @@
         };
         let result = timeout_at(by, answer).await;
         let (outcome, body) = result.unwrap_or((Outcome::Timeout, Served::default()));
+        self.learned().note(pooled.idle_for, outcome == Outcome::Reset, Instant::now());
         answered(outcome, body);
         if matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Error)
             && pooled.connection.sender.ready().await.is_ok()
@@ -318,4 +330,21 @@
         assert!(upstreams.connection(addr(2), by).await.is_some(), "the idle one gave way");
         assert_eq!(upstreams.open.load(Ordering::Relaxed), 1);
     }
+
+    #[tokio::test]
+    async fn a_connection_idle_for_longer_than_they_stay_good_is_not_used_again() {
+        let upstreams = Upstreams::new(4, LONG, LONG);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let now = Instant::now();
+        let idle = now.checked_sub(Duration::from_secs(10)).expect("the machine has run for longer");
+        for broke in [false, true].repeat(5) {
+            upstreams.learned().note(if broke { Duration::from_secs(5) } else { Duration::ZERO }, broke, now);
+        }
+        for (since, good) in [(now, true), (idle, false)] {
+            let pooled = upstreams.connection(addr, now + LONG).await.expect("a connection");
+            upstreams.idle().entry(addr).or_default().push(Idle { pooled, since });
+            assert_eq!(upstreams.kept(addr).is_some(), good);
+        }
+    }
 }
