--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -286,3 +286,20 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_used_id_is_known_for_long_and_the_memory_stays_bounded() {
+        let mut seen = Seen::default();
+        for i in 0..5 * REMEMBERED {
+            assert!(seen.is_new(&i.to_le_bytes()), "{i}");
+            assert!(!seen.is_new(&i.to_le_bytes()), "{i} again");
+            let before = i.saturating_sub(REMEMBERED - 1);
+            assert!(!seen.is_new(&before.to_le_bytes()), "{before}, at {i}");
+            assert!(seen.young.len() + seen.old.len() <= 2 * REMEMBERED);
+        }
+    }
+}
