Judge the home zone by how long it takes, not by that over the server's weight

At fault: in `draw` the bound that keeps requests at home, a share of the aim in ms, was compared with the score, which is divided by weight. With weights of 2.5 to 6 a home server looked fit at up to six times the time meant.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -407,10 +407,10 @@
         let healthy = |s: &Server| s.health == Health::Good || trial && s.is_due(self.now);
         // Where crossing zones has a price, the draw keeps to those at home unlikely to miss the aim:
         // by Chebyshev's bound a miss is no likelier than (mean ÷ aim)², and while that is under the price,
-        // crossing cannot pay. The score is a peak, hence the factor.
+        // crossing cannot pay. The average is a peak, hence the factor.
         let aim = request.job.aim * self.scale(&request.job);
         let bound = PEAK_OVER_MEAN * aim * self.settings.cross_zone_price.max(0.0).sqrt();
-        let home = |s: &Server| may(s) && healthy(s) && self.score(s, class) < bound;
+        let home = |s: &Server| may(s) && healthy(s) && self.time_there(s, class) < bound;
         let mut found = if bound > 0.0 { self.pair(&self.home, usize::MAX, draws, home) } else { Vec::new() };
         // Guards against an empty choice: what the subset lacks is looked for in the whole list, and if
         // all look bad, all are used.
@@ -458,8 +458,12 @@
     fn score(&self, server: &Server, class: usize) -> f64 {
         let weight = server.line.weight.max(1.0) * self.warmth(server).sqrt();
         let in_flight = server.held.unwrap_or(0.0).max(server.flights.len() as f64);
-        let latency = server.latency(self.now, self.typical).max(1.0) * self.fit(server, class);
-        latency * (in_flight + 1.0) / weight
+        self.time_there(server, class) * (in_flight + 1.0) / weight
+    }
+
+    /// What a mean request of this class takes there now, by the average.
+    fn time_there(&self, server: &Server, class: usize) -> f64 {
+        server.latency(self.now, self.typical).max(1.0) * self.fit(server, class)
     }
 
     fn warmth(&self, server: &Server) -> f64 {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -554,6 +554,19 @@
     }
 }
 
+#[test]
+fn requests_leave_a_home_that_is_slow_however_large_its_servers() {
+    let mut settings = settings(vec![class(SAFE)]);
+    settings.cross_zone_price = 0.01;
+    let mut servers = listed(6);
+    servers.iter_mut().for_each(|s| (s.weight, s.zone) = (4.0, u16::from(s.server.0 > 3)));
+    let mut rig = Rig::new(settings, servers);
+    let took = |s: ServerId| if s.0 > 3 { 50 } else { 300 };
+    rig.serve_many(20, took);
+    let home = (0..50).filter(|_| rig.serve(took).0 <= 3).count();
+    assert!(home < 25, "{home} of 50 sent to a home that misses half of its aims");
+}
+
 // ---- odd input ----
 
 #[test]
