--- a/src/balance.rs
+++ b/src/balance.rs
@@ -412,10 +412,10 @@
         let bound = PEAK_OVER_MEAN * aim * self.settings.cross_zone_price.max(0.0).sqrt();
         let home = |s: &Server| may(s) && healthy(s) && self.time_there(s, class) < bound;
         let mut found = if bound > 0.0 { self.pair(&self.home, usize::MAX, draws, home) } else { Vec::new() };
-        // Guards against an empty choice: what the subset lacks is looked for in the whole list, and if
-        // all look bad, all are used.
+        // Guards against no choice: one server that is left at home would get all that comes, and what the
+        // subset lacks is looked for in the whole list. If all look bad, all are used.
         for part in [self.subset(), usize::MAX] {
-            if found.is_empty() {
+            if found.len() < 2 {
                 found = self.pair(&self.ready, part, draws, |s| may(s) && healthy(s));
             }
         }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -567,6 +567,19 @@
     assert!(home < 25, "{home} of 50 sent to a home that misses half of its aims");
 }
 
+#[test]
+fn the_last_good_server_at_home_is_not_given_all_requests() {
+    let mut settings = settings(vec![class(SAFE)]);
+    settings.cross_zone_price = 0.01;
+    let mut servers = listed(6);
+    servers.iter_mut().for_each(|s| s.zone = u16::from(s.server.0 > 3));
+    let mut rig = Rig::new(settings, servers);
+    let took = |s: ServerId| if [2, 3].contains(&s.0) { 300 } else { 50 };
+    rig.serve_many(20, took);
+    let last = (0..50).filter(|_| rig.serve(took) == ServerId(1)).count();
+    assert!(last < 35, "{last} of 50 sent to one of four good servers");
+}
+
 // ---- odd input ----
 
 #[test]
