Take a zone as lost after three failed connections instead of server by server

A quarter of the tries was refused, mostly for a full window, while the upstreams in use answered in 50 to 90 ms.

Now a server that takes no connection is ejected at once, also beyond that half; three in a zone without an answer from it between them eject the zone, and one answer brings it back; trials of all ejected together are bounded by the fresh requests; and late attempts at ejected servers narrow no window.

At fault: `strike`, which counted a failed connection like an error, and `draw`, where every ejected server that was due could take a request of its own.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -15,6 +15,13 @@
 /// than a share of the listed: when most look bad it isn't them.
 const STRIKES: u32 = 3;
 const MAX_EJECTED: f64 = 0.5;
+/// So many servers of a zone that take no connection, with no answer from the zone since the first, are the
+/// zone's loss: one or two are gone by chance.
+const DARK: usize = 3;
+/// Trials earned by each fresh request, and by one that went well: many servers that are down together must
+/// not take a quiet sidecar's requests from those that are up, and come back together.
+const TRIAL_SHARE: f64 = 1.0 / 32.0;
+const TRIALS_WON: f64 = 2.0;
 /// First wait before a trial, doubled with each failed one, so often at most.
 const EJECT_MS: f64 = 2_000.0;
 const EJECT_DOUBLINGS: u32 = 2;
@@ -167,6 +174,7 @@
         // A client's retry is no fresh demand: it earns no further attempt.
         if !repeat {
             self.retries = (self.retries + RETRY_SHARE).min(RETRY_BURST);
+            self.trials += if self.trials < 1.0 { TRIAL_SHARE } else { 0.0 };
             self.note_demand(&job);
         }
         let wait = ((aim_at - self.now - expected) * HOLD).max(0.0);
@@ -283,6 +291,7 @@
         let (request, chosen) = (&self.requests[&id], &self.servers[&server]);
         let (job, held, attempt) = (request.job, chosen.held, request.attempts.len());
         let (sent, timeout) = (self.now, request.ends - self.now);
+        self.trials -= if chosen.health == Health::Good { 0.0 } else { 1.0 };
         let scale = self.scale(&job) / self.fit(chosen, job.class);
         let group = chosen.group(self.settings.classes[job.class].repeat);
         let (fate, late) = (Fate::Out, false);
@@ -403,7 +412,7 @@
             in_group && !request.knows(s.line.server) && request.lot < self.warmth(s) * open
         };
         // Re-entry is by a single trial, and never with a request that has only one attempt.
-        let trial = repeat != Repeat::Unsafe;
+        let trial = repeat != Repeat::Unsafe && self.trials >= 1.0;
         let healthy = |s: &Server| s.health == Health::Good || trial && s.is_due(self.now);
         // Where crossing zones has a price, the draw keeps to those at home unlikely to miss the aim:
         // by Chebyshev's bound a miss is no likelier than (mean ÷ aim)², and while that is under the price,
@@ -537,10 +546,13 @@
         server.fold(self.now, sample);
         follow(&mut server.usual, sample, USUAL_GAIN);
         server.strikes = 0;
+        let zone = server.line.zone;
         if std::mem::replace(&mut server.health, Health::Good) != Health::Good {
             self.ejected.remove(&of.server);
+            self.trials += TRIALS_WON;
             out.push(Action::Log(Note::Readmitted(of.server)));
         }
+        self.relight(zone);
         self.note_typical(sample);
     }
 
@@ -566,7 +578,10 @@
         }
         self.note_typical(sample);
         if blame {
-            self.strike(of.server, out);
+            self.strike(of.server, outcome == Outcome::ConnectFailed, out);
+        }
+        if outcome == Outcome::ConnectFailed {
+            self.darken(of.server, out);
         }
     }
 
@@ -574,7 +589,8 @@
     /// widens it again while it is in full use. All that were out together tell of one crowd; one at a server
     /// known as far slower than the rest tells of that server alone, and the score sees to it.
     fn narrow(&mut self, server: ServerId, sent: f64) {
-        let outlier = |s: &Server| s.average(self.now, self.typical) > OUTLIER * self.typical;
+        let slow = |s: &Server| s.average(self.now, self.typical) > OUTLIER * self.typical;
+        let outlier = |s: &Server| s.health != Health::Good || slow(s);
         if self.servers.get(&server).is_some_and(outlier) {
             return;
         }
@@ -598,21 +614,56 @@
         (self.ready.len() as f64 - lost.sum::<f64>()).max(1.0)
     }
 
-    /// Outlier ejection, never beyond a share of the list: if most look bad it is not them.
-    fn strike(&mut self, id: ServerId, out: &mut Vec<Action>) {
+    /// Outlier ejection, never beyond a share of the list: if most look bad it is not them. One that takes no
+    /// connection is down, or full, whatever the others are.
+    fn strike(&mut self, id: ServerId, unreachable: bool, out: &mut Vec<Action>) {
         let (ejected, most) = (self.ejected().count() as f64, self.ready.len() as f64 * MAX_EJECTED);
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.strikes += 1;
         let next = match server.health {
-            Health::Good if server.strikes >= STRIKES && ejected + 1.0 <= most => 0,
+            Health::Good if unreachable || server.strikes >= STRIKES && ejected + 1.0 <= most => 0,
             Health::Ejected { until, doublings } if self.now >= until => (doublings + 1).min(EJECT_DOUBLINGS),
             _ => return,
         };
+        self.eject(id, next, out);
+    }
+
+    /// Guards against learning of a lost zone one server at a time, which a quiet sidecar takes longer for than
+    /// the loss lasts. Not if it is the last zone: then it is not them.
+    fn darken(&mut self, id: ServerId, out: &mut Vec<Action>) {
+        let Some(zone) = self.servers.get(&id).map(|server| server.line.zone) else { return };
+        let dark = self.dark.entry(zone).or_default();
+        dark.retain(|id| self.servers.contains_key(id));
+        dark.insert(id);
+        let lit = |s: &&Server| s.health == Health::Good && s.is(Availability::Ready);
+        let (lost, left): (Vec<&Server>, _) =
+            self.servers.values().filter(lit).partition(|s| s.line.zone == zone);
+        if dark.len() < DARK || left.is_empty() {
+            return;
+        }
+        for id in lost.into_iter().map(|server| server.line.server).collect::<Vec<_>>() {
+            self.eject(id, 0, out);
+        }
+    }
+
+    /// An answer from a zone held to be lost: those that were ejected for their zone alone are back.
+    fn relight(&mut self, zone: u16) {
+        if self.dark.remove(&zone).is_none_or(|dark| dark.len() < DARK) {
+            return;
+        }
+        for server in self.servers.values_mut().filter(|s| s.line.zone == zone && s.strikes == 0) {
+            server.health = Health::Good;
+            self.ejected.remove(&server.line.server);
+        }
+    }
+
+    fn eject(&mut self, id: ServerId, doublings: u32, out: &mut Vec<Action>) {
+        let Some(server) = self.servers.get_mut(&id) else { return };
         if server.health == Health::Good {
             self.ejected.insert(id);
             out.push(Action::Log(Note::Ejected(id)));
         }
-        let until = self.now + EJECT_MS * f64::from(1u32 << next);
-        server.health = Health::Ejected { until, doublings: next };
+        let until = self.now + EJECT_MS * f64::from(1u32 << doublings);
+        server.health = Health::Ejected { until, doublings };
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -238,6 +238,8 @@
     /// ... those that may still be cold, with their start, and those ejected.
     pub(crate) cold: Vec<(ServerId, f64)>,
     pub(crate) ejected: BTreeSet<ServerId>,
+    /// Servers that took no connection since the last answer from their zone, by zone.
+    pub(crate) dark: BTreeMap<u16, BTreeSet<ServerId>>,
     /// Attempts out.
     pub(crate) flying: usize,
     pub(crate) requests: BTreeMap<RequestId, Request>,
@@ -259,6 +261,8 @@
     pub(crate) of_class: Vec<Service>,
     /// Further attempts left in the budget.
     pub(crate) retries: f64,
+    /// Trials of ejected servers left.
+    pub(crate) trials: f64,
     /// Attempts this sidecar may have in flight for each warm server in use.
     pub(crate) window: f64,
     /// When a crowd was last noticed (0 for never), and how far it may narrow the window.
@@ -280,6 +284,7 @@
             home: Vec::new(),
             cold: Vec::new(),
             ejected: BTreeSet::new(),
+            dark: BTreeMap::new(),
             flying: 0,
             requests: BTreeMap::new(),
             held: Vec::new(),
@@ -293,6 +298,7 @@
             sends_at: 0.0,
             of_class: vec![Service::default(); settings.classes.len()],
             retries: 0.0,
+            trials: 1.0,
             window: 1.0,
             narrowed_at: 0.0,
             narrowest: 0.0,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -316,6 +316,52 @@
     assert!(rig.log.iter().any(|(_, a)| *a == Action::Log(Note::Readmitted(bad))));
 }
 
+/// Some requests, each until it is served or given up, and how many attempts found no connection.
+fn unreachable(rig: &mut Rig, requests: usize, down: impl Fn(ServerId) -> bool) -> usize {
+    let mut failed = 0;
+    for _ in 0..requests {
+        let (id, mut said) = rig.ask();
+        for attempt in 0.. {
+            let Some(server) = sent(&said) else { break };
+            rig.wait(if down(server) { 100 } else { 40 });
+            if !down(server) {
+                rig.end(id, attempt, Outcome::Ok, 40);
+                break;
+            }
+            failed += 1;
+            said = rig.end(id, attempt, Outcome::ConnectFailed, 100);
+        }
+    }
+    failed
+}
+
+#[test]
+fn a_lost_zone_is_not_learned_of_server_by_server() {
+    let mut servers = listed(30);
+    servers[10..].iter_mut().for_each(|s| s.zone = 1);
+    let mut rig = Rig::new(settings(vec![class(SAFE)]), servers);
+    let none = |_: ServerId| false;
+    let second = |s: ServerId| s.0 > 10;
+    unreachable(&mut rig, 60, none);
+    let failed = unreachable(&mut rig, 60, second);
+    assert!(failed <= 8, "{failed} failed attempts to learn of one loss");
+    rig.wait(20_000);
+    let failed = unreachable(&mut rig, 320, second);
+    assert!(failed <= 12, "{failed} of 320 requests went on trials");
+    unreachable(&mut rig, 200, none);
+    let back = (0..60).filter(|_| second(rig.serve(|_| 40))).count();
+    assert!(back > 20, "only {back} of 60 went to the zone that came back");
+}
+
+#[test]
+fn servers_of_one_zone_that_fail_among_answers_do_not_condemn_it() {
+    let mut rig = rig(SAFE, 8);
+    let gone = |s: ServerId| s.0 > 6;
+    unreachable(&mut rig, 200, gone);
+    let used: BTreeSet<ServerId> = (0..60).map(|_| rig.serve(|_| 40)).collect();
+    assert!((1..=6).all(|n| used.contains(&ServerId(n))), "{used:?}");
+}
+
 #[test]
 fn when_all_fail_all_stay_in_use() {
     let mut rig = rig(Repeat::Unsafe, 4);
