Judge the home zone by the mean too: an average of one met seldom is no peak

At fault: in `draw` the average may be three times the mean that the price of crossing allows, as a peak over many answers is. A sidecar that meets a server every few seconds has an average that has faded to the mean by then.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -77,10 +77,15 @@
     /// The average as of now. Old news fades towards what the server usually shows, so that a quiet
     /// sidecar keeps in mind which are slow; that, and what has no samples, towards the others.
     fn average(&self, now: f64, typical: f64) -> f64 {
+        let (age, usual) = ((now - self.stamp) / TAU_MS, self.mean(now, typical));
+        self.ewma.map_or(typical, |ewma| usual + (ewma - usual) * (-age).exp())
+    }
+
+    /// What it usually shows, as of now.
+    fn mean(&self, now: f64, typical: f64) -> f64 {
         let age = (now - self.stamp) / TAU_MS;
         let usual = if self.usual > 0.0 { self.usual } else { typical };
-        let usual = typical + (usual - typical) * (-age * USUAL_GAIN).exp();
-        self.ewma.map_or(typical, |ewma| usual + (ewma - usual) * (-age).exp())
+        typical + (usual - typical) * (-age * USUAL_GAIN).exp()
     }
 
     /// What to expect there now: an attempt out for longer than the average speaks by its age.
@@ -416,10 +421,14 @@
         let healthy = |s: &Server| s.health == Health::Good || trial && s.is_due(self.now);
         // Where crossing zones has a price, the draw keeps to those at home unlikely to miss the aim:
         // by Chebyshev's bound a miss is no likelier than (mean ÷ aim)², and while that is under the price,
-        // crossing cannot pay. The average is a peak, hence the factor.
+        // crossing cannot pay. The average is a peak where a server is met often, hence the factor.
         let aim = request.job.aim * self.scale(&request.job);
-        let bound = PEAK_OVER_MEAN * aim * self.settings.cross_zone_price.max(0.0).sqrt();
-        let home = |s: &Server| may(s) && healthy(s) && self.time_there(s, class) < bound;
+        let bound = aim * self.settings.cross_zone_price.max(0.0).sqrt();
+        let near = |s: &Server| {
+            let mean = s.mean(self.now, self.typical) * self.fit(s, class);
+            mean < bound && self.time_there(s, class) < PEAK_OVER_MEAN * bound
+        };
+        let home = |s: &Server| may(s) && healthy(s) && near(s);
         let mut found = if bound > 0.0 { self.pair(&self.home, usize::MAX, draws, home) } else { Vec::new() };
         // Guards against no choice: one server that is left at home would get all that comes, and what the
         // subset lacks is looked for in the whole list. If all look bad, all are used.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -613,6 +613,23 @@
     assert!(home < 25, "{home} of 50 sent to a home that misses half of its aims");
 }
 
+#[test]
+fn a_sidecar_that_meets_servers_seldom_takes_its_average_for_no_peak() {
+    let mut settings = settings(vec![class(SAFE)]);
+    settings.cross_zone_price = 0.01;
+    let mut servers = listed(6);
+    servers.iter_mut().for_each(|s| s.zone = u16::from(s.server.0 > 3));
+    let mut rig = Rig::new(settings, servers);
+    // A home with a mean of a quarter of the aim misses more of them than crossing costs.
+    let mut serve = |_| {
+        rig.wait(4_000);
+        rig.serve(|s| if s.0 > 3 { 40 } else { 100 })
+    };
+    (0..20).for_each(|n| drop(serve(n)));
+    let home = (0..50).map(serve).filter(|s| s.0 <= 3).count();
+    assert!(home < 30, "{home} of 50 sent home");
+}
+
 #[test]
 fn the_last_good_server_at_home_is_not_given_all_requests() {
     let mut settings = settings(vec![class(SAFE)]);
