Widen the window by one an answer until the first crowd

At fault: in `answered` the window rises by at most a tenth of itself an answer, from a start that is divided evenly among the instances. Their traffic is not.

Ruled out: the price of crossing, which is the same before and after.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -26,8 +26,9 @@
 const EJECT_MS: f64 = 2_000.0;
 const EJECT_DOUBLINGS: u32 = 2;
 /// Attempts in flight for each listed server that a start of all sidecars is trusted with, one at each. The
-/// window grows by the step with each answer in time, and shrinks by the cut with each late one; one crowd
-/// narrows it to the floor, a share of what it was, at most.
+/// window grows with each answer in time, by one until the first crowd, as sidecars' shares of the traffic
+/// differ, and by the step from then on. It shrinks by the cut with each late one; one crowd narrows it to the
+/// floor, a share of what it was, at most.
 const WINDOW_START: f64 = 4.0;
 const WINDOW_STEP: f64 = 0.3;
 const WINDOW_CUT: f64 = 0.1;
@@ -548,7 +549,8 @@
         if took > job.aim && !of.late {
             self.narrow(of.server, of.sent);
         } else if took <= job.aim && self.in_flight() + 2.0 > self.limit() {
-            self.window += WINDOW_STEP.min(self.limit() * WINDOW_CUT) / self.capacity();
+            let step = WINDOW_STEP.min(self.limit() * WINDOW_CUT);
+            self.window += if self.narrowed_at > 0.0 { step } else { 1.0 } / self.capacity();
         }
         self.shedding &= !self.held.is_empty();
         let Some(server) = self.servers.get_mut(&of.server) else { return };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -572,6 +572,16 @@
     assert!(*advice <= ms(spare / 3), "{advice:?} of {spare} ms to spare");
 }
 
+#[test]
+fn the_busiest_of_many_sidecars_soon_has_a_window_to_its_share() {
+    let mut settings = settings(vec![class(SAFE)]);
+    settings.instances = 100;
+    let mut rig = Rig::new(settings, listed(60));
+    // 30 in flight, against two at the start.
+    let refused = refused_of_a_stream(&mut rig, 2_000, |_| 150);
+    assert!(refused < 100, "{refused} of 400 refused");
+}
+
 #[test]
 fn what_is_lost_takes_its_part_of_the_window_along() {
     // Guards against incident iea0a8a: the load of a lost half fell on the other at once.
