Leave no debt of trials behind when all servers were down

Since trials of ejected servers are bounded, each request that goes to one of them for want of any other was booked as a trial as well. After 60 requests to eight servers that were all down the budget stood far below zero: the first to answer was readmitted and got every request from then on, the others no trial.

At fault: in `send` the budget had no floor. In `answered` it has a ceiling now too: what trials that went well earn is of use for the other ejected ones only.

Found by reading, shown by the new test.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -297,7 +297,9 @@
         let (request, chosen) = (&self.requests[&id], &self.servers[&server]);
         let (job, held, attempt) = (request.job, chosen.held, request.attempts.len());
         let (sent, timeout) = (self.now, request.ends - self.now);
-        self.trials -= if chosen.health == Health::Good { 0.0 } else { 1.0 };
+        // Where all look bad all are used, and none is in debt for it.
+        let price = if chosen.health == Health::Good { 0.0 } else { 1.0 };
+        self.trials = (self.trials - price).max(0.0);
         let scale = self.scale(&job) / self.fit(chosen, job.class);
         let group = chosen.group(self.settings.classes[job.class].repeat);
         let (fate, late) = (Fate::Out, false);
@@ -560,7 +562,7 @@
         let zone = server.line.zone;
         if std::mem::replace(&mut server.health, Health::Good) != Health::Good {
             self.ejected.remove(&of.server);
-            self.trials += TRIALS_WON;
+            self.trials = (self.trials + TRIALS_WON).min(1.0 + self.ejected.len() as f64);
             out.push(Action::Log(Note::Readmitted(of.server)));
         }
         self.relight(zone);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -353,6 +353,15 @@
     assert!(back > 20, "only {back} of 60 went to the zone that came back");
 }
 
+#[test]
+fn after_all_were_down_all_are_back_in_use_soon() {
+    let mut rig = rig(SAFE, 8);
+    unreachable(&mut rig, 60, |_| true);
+    unreachable(&mut rig, 200, |_| false);
+    let used: BTreeSet<ServerId> = (0..100).map(|_| rig.serve(|_| 40)).collect();
+    assert_eq!(used.len(), 8, "{used:?}");
+}
+
 #[test]
 fn servers_of_one_zone_that_fail_among_answers_do_not_condemn_it() {
     let mut rig = rig(SAFE, 8);
