Inherit the clients' socket that the platform holds

The address was right and the predecessor alive, so neither the configuration nor a slow end was the cause: `listen` in main.rs binds whatever the environment says of a descriptor.

--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -1,22 +1,24 @@
 //! A sidecar: takes the requests of the application beside it and sends each to an upstream.
-#![forbid(unsafe_code)]
+// `listener` has the one line that is allowed.
+#![deny(unsafe_code)]
 
 mod config;
 mod discovery;
 mod driver;
 mod idle;
+mod listener;
 mod server;
 mod upstream;
 
 use config::{Config, ConfigError};
 use driver::Driver;
+use listener::ListenError;
 use server::Server;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
@@ -37,25 +39,12 @@
 enum StartError {
     #[error(transparent)]
     Config(#[from] ConfigError),
-    #[error("listening on {0}: {1}")]
-    Listen(SocketAddr, io::Error),
+    #[error(transparent)]
+    Listen(#[from] ListenError),
     #[error("starting: {0}")]
     System(#[from] io::Error),
 }
 
-/// Guards against a predecessor that still holds the address while it ends.
-async fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
-    let since = Instant::now();
-    loop {
-        match TcpListener::bind(addr).await {
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse && since.elapsed() < DRAINED => {
-                sleep(LOOK).await;
-            }
-            result => return result,
-        }
-    }
-}
-
 /// At SIGHUP the file may name another address of discovery. One that can't be read changes nothing.
 async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
@@ -69,12 +58,17 @@
     }
 }
 
-async fn run() -> Result<(), StartError> {
+async fn run(inherited: Option<TcpListener>) -> Result<(), StartError> {
     let (mut term, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let config = Arc::new(Config::from_env()?);
-    let listener = listen(config.listen).await.map_err(|e| StartError::Listen(config.listen, e))?;
+    // Where the platform holds the socket, an upgrade's other process may run beside this one: half is its own.
+    let parts = if inherited.is_some() { 2 } else { 1 };
+    let listener = match inherited {
+        Some(listener) => listener::wrap(listener)?,
+        None => listener::bind(config.listen).await?,
+    };
     eprintln!("{}: listening on {}", config.name, listener.local_addr()?);
-    let connections = config.sockets.saturating_sub(RESERVED);
+    let connections = (config.sockets / parts).saturating_sub(RESERVED);
     let (clients, upstreams) = (connections / 2, connections - connections / 2);
     let settings = (config.settings.keep_alive, config.surroundings.connect_timeout);
     let upstreams = Upstreams::new(upstreams.max(1), settings.0, settings.1);
@@ -109,6 +103,13 @@
 }
 
 fn main() -> ExitCode {
+    let inherited = match listener::inherited() {
+        Ok(inherited) => inherited,
+        Err(error) => {
+            eprintln!("juniperspoke: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
@@ -116,7 +117,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match runtime.block_on(run()) {
+    match runtime.block_on(run(inherited)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("juniperspoke: {error}");
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1,9 +1,12 @@
 //! Upstreams, discovery and an application for tests, on loopback sockets with ports from the kernel.
+#![allow(dead_code)]
 
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -352,9 +355,51 @@
 pub struct Sidecar {
     process: Child,
     addr: SocketAddr,
-    pub discovery: Discovery,
+    pub discovery: Arc<Discovery>,
     config: Value,
-    file: String,
+    /// Its own, with the configuration; the processes of an upgrade share it.
+    dir: Arc<Dir>,
+}
+
+/// A folder that goes with its owner.
+struct Dir(PathBuf);
+
+impl Dir {
+    fn new() -> Dir {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}", std::process::id()));
+        std::fs::create_dir_all(path.join("tmp")).expect("made");
+        Dir(path)
+    }
+
+    fn config(&self) -> PathBuf {
+        self.0.join("config.json")
+    }
+}
+
+impl Drop for Dir {
+    fn drop(&mut self) {
+        drop(std::fs::remove_dir_all(&self.0));
+    }
+}
+
+/// Puts the listener at descriptor 5, from standard input, and names it.
+pub const INHERIT: &str = "exec 5<&0 </dev/null; export BALANCER_LISTEN_FD=5";
+
+fn stdin_of(listener: &TcpListener) -> Stdio {
+    Stdio::from(OwnedFd::from(listener.try_clone().expect("a clone")))
+}
+
+/// What a sidecar that can't start says on its log.
+pub fn start_error(shell: &str, stdin: Stdio, change: impl FnOnce(&mut Value)) -> String {
+    let dir = Dir::new();
+    let mut config = Sidecar::config(&json!({"revision": 1, "complete": true, "members": []}), "127.0.0.1:9");
+    change(&mut config);
+    std::fs::write(dir.config(), config.to_string()).expect("written");
+    let output = Sidecar::command(shell, &dir).stdin(stdin).output().expect("started");
+    assert!(!output.status.success(), "it has not started");
+    String::from_utf8(output.stderr).expect("text")
 }
 
 impl Sidecar {
@@ -364,20 +409,29 @@
 
     /// Starts one after this shell command.
     pub fn under(shell: &str, upstreams: &[&Upstream]) -> Sidecar {
-        Sidecar::launch(shell, upstreams, |_| {})
+        Sidecar::launch(shell, Stdio::null(), upstreams, |_| {})
+    }
+
+    /// Starts one that inherits the clients' socket.
+    pub fn inheriting(
+        listener: &TcpListener, upstreams: &[&Upstream], change: impl FnOnce(&mut Value),
+    ) -> Sidecar {
+        Sidecar::launch(INHERIT, stdin_of(listener), upstreams, change)
+    }
+
+    /// A new version beside this one, as at an upgrade.
+    pub fn successor(&self, listener: &TcpListener) -> Sidecar {
+        let (discovery, dir) = (self.discovery.clone(), self.dir.clone());
+        Sidecar::spawn(INHERIT, stdin_of(listener), discovery, self.config.clone(), dir)
     }
 
     pub fn with(upstreams: &[&Upstream], change: impl FnOnce(&mut Value)) -> Sidecar {
-        Sidecar::launch(":", upstreams, change)
+        Sidecar::launch(":", Stdio::null(), upstreams, change)
     }
 
-    /// Starts one that is ready and has asked discovery, which knows these upstreams.
-    fn launch(shell: &str, upstreams: &[&Upstream], change: impl FnOnce(&mut Value)) -> Sidecar {
-        let members: Vec<Value> = upstreams.iter().map(|upstream| upstream.line("Ready")).collect();
-        let known = json!({"revision": 1, "complete": true, "members": members});
-        let discovery = Discovery::start(&known);
-        let mut config = json!({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.addr.to_string(), "seed": "5a",
+    fn config(known: &Value, discovery: &str) -> Value {
+        json!({
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "5a",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
             "settings": {
                 "areas": ["a"], "skus": ["m"], "zone": 0, "me": 0, "instances": 1, "discovery": "pushed", "tick": 1.0,
@@ -389,24 +443,40 @@
                     {"name": "look", "idempotency": "retryable", "aim": 5000.0, "deadline": 20000.0},
                 ],
             },
-        });
-        change(&mut config);
-        static NUMBER: AtomicUsize = AtomicUsize::new(0);
-        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let file = format!("{}/{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
-        std::fs::write(&file, config.to_string()).expect("written");
-        let mut process = Command::new("sh")
+        })
+    }
+
+    fn command(shell: &str, dir: &Dir) -> Command {
+        let mut command = Command::new("sh");
+        command
             .args(["-c", &format!("{shell}; exec {}", env!("CARGO_BIN_EXE_juniperspoke"))])
-            .env("BALANCER_CONFIG", &file)
-            .env("BALANCER_DISCOVERY", discovery.addr.to_string())
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("started");
+            .env("BALANCER_CONFIG", dir.config())
+            .env("TMPDIR", dir.0.join("tmp"));
+        command
+    }
+
+    /// Starts one that is ready and has asked discovery, which knows these upstreams.
+    fn launch(
+        shell: &str, stdin: Stdio, upstreams: &[&Upstream], change: impl FnOnce(&mut Value),
+    ) -> Sidecar {
+        let members: Vec<Value> = upstreams.iter().map(|upstream| upstream.line("Ready")).collect();
+        let known = json!({"revision": 1, "complete": true, "members": members});
+        let discovery = Arc::new(Discovery::start(&known));
+        let mut config = Sidecar::config(&known, &discovery.addr.to_string());
+        change(&mut config);
+        Sidecar::spawn(shell, stdin, discovery, config, Arc::new(Dir::new()))
+    }
+
+    fn spawn(shell: &str, stdin: Stdio, discovery: Arc<Discovery>, config: Value, dir: Arc<Dir>) -> Sidecar {
+        std::fs::write(dir.config(), config.to_string()).expect("written");
+        let mut command = Sidecar::command(shell, &dir);
+        command.env("BALANCER_DISCOVERY", discovery.addr.to_string());
+        let mut process = command.stdin(stdin).stderr(Stdio::piped()).spawn().expect("started");
         let mut log = BufReader::new(process.stderr.take().expect("a log")).lines();
         let addr = log.find_map(|line| line.ok()?.split_once("listening on ")?.1.parse().ok());
         thread::spawn(move || log.for_each(drop));
         let asked = config["settings"]["discovery"] != "pushed";
-        let sidecar = Sidecar { process, addr: addr.expect("it listens"), discovery, config, file };
+        let sidecar = Sidecar { process, addr: addr.expect("it listens"), discovery, config, dir };
         sidecar.wait_until("readiness", |sidecar| sidecar.ready() == 200);
         if !asked {
             drop(sidecar.discovery.registry.wait("a call", |r| r.watches.iter().any(|w| w.0 == 1)));
@@ -415,15 +485,15 @@
     }
 
     pub fn spoil_config(&self) {
-        std::fs::write(&self.file, "{").expect("written");
+        std::fs::write(self.dir.config(), "{").expect("written");
     }
 
     /// Discovery moves: the file names its new address, and SIGHUP tells of it.
     pub fn move_discovery(&mut self, revision: u64, members: &[Value]) {
-        self.discovery =
-            Discovery::start(&json!({"revision": revision, "complete": true, "members": members}));
+        let whole = json!({"revision": revision, "complete": true, "members": members});
+        self.discovery = Arc::new(Discovery::start(&whole));
         self.config["discovery"] = json!(self.discovery.addr.to_string());
-        std::fs::write(&self.file, self.config.to_string()).expect("written");
+        std::fs::write(self.dir.config(), self.config.to_string()).expect("written");
         self.signal("HUP");
     }
 
@@ -493,6 +563,5 @@
     fn drop(&mut self) {
         drop(self.process.kill());
         drop(self.process.wait());
-        drop(std::fs::remove_file(&self.file));
     }
 }
