Open a door for operators: readiness, figures, drain and undrain

The life of the process (life.rs) is now the one place that knows whether it serves, drains or ends; before it was a flag in server.rs that could not be taken back. Idle connections are closed half a second after the call instead of at it.

--- a/src/api.rs
+++ b/src/api.rs
@@ -214,6 +214,15 @@
     Failed,
 }
 
+/// How the list and what the balancer makes of it look now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Hosts {
+    /// Servers in the list, whether or not they take requests.
+    pub listed: usize,
+    /// Those of them that get no ordinary request now, since the balancer avoids them.
+    pub avoided: usize,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -117,6 +117,12 @@
         self.dispatch(out);
     }
 
+    /// How many servers are listed, and how many of them are avoided now.
+    pub fn hosts(&self) -> Hosts {
+        let listed = self.servers.values().filter(|s| !s.is(Availability::Gone)).count();
+        Hosts { listed, avoided: self.ejected().count() }
+    }
+
     // ---- the server list ----
 
     fn follow_list(&mut self, news: ListNews, out: &mut Vec<Action>) {
--- a/src/bin/juniperspoke/config.rs
+++ b/src/bin/juniperspoke/config.rs
@@ -27,6 +27,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call; `None` where there is no door for them.
+    pub control: Option<SocketAddr>,
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
@@ -57,6 +59,12 @@
             name: text("name", "BALANCER_NAME"),
             listen: addr("listen", "BALANCER_LISTEN")?,
             discovery: addr("discovery", "BALANCER_DISCOVERY")?,
+            control: match (env("BALANCER_CONTROL"), &json["control"]) {
+                (None, Value::Null) => None,
+                (Some(text), _) => Some(parse_addr("control", text)?),
+                (None, Value::String(text)) => Some(parse_addr("control", text.clone())?),
+                (None, other) => Some(parse_addr("control", other.to_string())?),
+            },
             seed,
             sockets: json["limits"]["sockets"].as_u64().map_or(SOCKETS, |n| n as usize),
             known: json["known"].clone(),
@@ -131,11 +139,22 @@
     #[test]
     fn the_environment_wins_and_bad_values_are_named() {
         let env = |key: &str| (key == "BALANCER_LISTEN").then(|| "127.0.0.2:1".to_owned());
-        assert_eq!(Config::read(JSON, env).expect("readable").listen.to_string(), "127.0.0.2:1");
+        let config = Config::read(JSON, env).expect("readable");
+        assert_eq!((config.listen.to_string().as_str(), config.control), ("127.0.0.2:1", None));
+        let with_door = JSON.replacen("{\"name\"", "{\"control\":\"127.0.0.1:12000\",\"name\"", 1);
+        let door = |env: Option<&str>| {
+            let env = env.map(String::from);
+            Config::read(&with_door, |key| env.clone().filter(|_| key == "BALANCER_CONTROL"))
+        };
+        let port = |config: Result<Config, _>| config.expect("readable").control.expect("a door").port();
+        assert_eq!((port(door(None)), port(door(Some("127.0.0.1:12001")))), (12_000, 12_001));
+        assert!(door(Some("")).is_err(), "an empty address is none");
         for (from, to, said) in [
             ("127.0.0.1:8500", "nowhere", "discovery: cannot read \"nowhere\""),
             ("8c1f", "zz", "seed: cannot read"),
             ("290.0", "\"soon\"", "requestClasses.0.aim"),
+            ("{\"name\"", "{\"control\":\"door\",\"name\"", "control: cannot read \"door\""),
+            ("{\"name\"", "{\"control\":12000,\"name\"", "control: cannot read \"12000\""),
             ("{\"name\"", "{", "no JSON"),
         ] {
             let error = Config::read(&JSON.replacen(from, to, 1), |_| None).err().expect("an error");
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -50,6 +50,8 @@
     Probed(ServerId, Outcome, Option<f64>),
     List(News),
     ListFailed,
+    /// Someone asks for these figures.
+    Hosts(oneshot::Sender<Hosts>),
 }
 
 /// How the other parts tell the driver what happens.
@@ -80,6 +82,13 @@
         self.ready.load(Ordering::Relaxed)
     }
 
+    /// `None` if the driver has ended.
+    pub async fn hosts(&self) -> Option<Hosts> {
+        let (to, hosts) = oneshot::channel();
+        self.tell(Happening::Hosts(to));
+        hosts.await.ok()
+    }
+
     /// Hands a request over and waits for its final answer.
     pub async fn ask(&self, inbound: Inbound) -> Answer {
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
@@ -214,6 +223,8 @@
                 }
             }
             Happening::ListFailed => self.handle_event(Event::List(ListNews::Failed)),
+            // Whoever asked may have left.
+            Happening::Hosts(to) => drop(to.send(self.balancer.hosts())),
         }
     }
 
@@ -380,12 +391,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::metrics::Metrics;
     use hyper::{HeaderMap, Method, Uri};
 
     #[tokio::test]
     async fn a_request_that_the_module_is_silent_about_is_answered_in_time() {
         let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
-        let upstreams = Upstreams::new(1, Duration::ZERO, Duration::ZERO);
+        let upstreams = Upstreams::new(1, Duration::ZERO, Duration::ZERO, Metrics::new(&[]));
         let (mut driver, handle) = Driver::new(config, upstreams, Arc::new(Notify::new()));
         // The module holds a request of the same id, and ignores another.
         let (id, patience) = (RequestId(0), Duration::from_secs(3_600));
--- /dev/null
+++ b/src/bin/juniperspoke/life.rs
@@ -0,0 +1,98 @@
+//! The life of the process: it serves clients, drains, or ends.
+
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Connections of clients that have stood idle since a drain began are closed after this time. By then whoever
+/// sends often has had an answer that closes its connection; the front sends newcomers for 0.3 s more.
+const LINGER: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    Serving,
+    Draining,
+    Ending,
+}
+
+/// The stage, and when connections of clients that stand idle are to be closed.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    pub stage: Stage,
+    pub close_idle: Option<Instant>,
+}
+
+/// The one place that knows the stage of the process.
+pub struct Life(watch::Sender<Now>);
+
+impl Life {
+    pub fn new() -> Life {
+        Life(watch::Sender::new(Now { stage: Stage::Serving, close_idle: None }))
+    }
+
+    pub fn stage(&self) -> Stage {
+        self.0.borrow().stage
+    }
+
+    pub fn watch(&self) -> watch::Receiver<Now> {
+        self.0.subscribe()
+    }
+
+    /// Sends clients away until [`Life::undrain`]. A process that ends goes on to.
+    pub fn drain(&self) {
+        self.leave(Stage::Draining, |stage| stage == Stage::Serving);
+    }
+
+    /// Takes clients again. A process that ends takes none.
+    pub fn undrain(&self) {
+        self.0.send_if_modified(|now| {
+            let draining = now.stage == Stage::Draining;
+            if draining {
+                *now = Now { stage: Stage::Serving, close_idle: None };
+            }
+            draining
+        });
+    }
+
+    /// Sends clients away for good.
+    pub fn end(&self) {
+        self.leave(Stage::Ending, |stage| stage != Stage::Ending);
+    }
+
+    fn leave(&self, to: Stage, from: impl Fn(Stage) -> bool) {
+        self.0.send_if_modified(|now| {
+            let leaves = from(now.stage);
+            if leaves {
+                now.stage = to;
+                now.close_idle.get_or_insert_with(|| Instant::now() + LINGER);
+            }
+            leaves
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::time::advance;
+
+    #[tokio::test(start_paused = true)]
+    async fn a_drain_can_be_taken_back_and_an_end_cannot() {
+        let life = Life::new();
+        life.undrain();
+        assert_eq!(life.stage(), Stage::Serving, "there was nothing to take back");
+        life.drain();
+        let close_at = life.watch().borrow().close_idle;
+        assert_eq!((life.stage(), close_at), (Stage::Draining, Some(Instant::now() + LINGER)));
+        advance(LINGER / 2).await;
+        life.drain();
+        assert_eq!(life.watch().borrow().close_idle, close_at, "a second call changes nothing");
+        life.undrain();
+        assert_eq!((life.stage(), life.watch().borrow().close_idle), (Stage::Serving, None));
+        life.drain();
+        life.end();
+        life.undrain();
+        life.drain();
+        assert_eq!(life.stage(), Stage::Ending);
+    }
+}
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -3,16 +3,22 @@
 #![deny(unsafe_code)]
 
 mod config;
+mod control;
 mod discovery;
 mod driver;
 mod idle;
+mod life;
 mod listener;
+mod metrics;
 mod server;
 mod upstream;
 
 use config::{Config, ConfigError};
+use control::Control;
 use driver::Driver;
+use life::Life;
 use listener::ListenError;
+use metrics::Metrics;
 use server::Server;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -62,16 +68,22 @@
     let (mut term, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let config = Arc::new(Config::from_env()?);
     // Where the platform holds the socket, an upgrade's other process may run beside this one: half is its own.
-    let parts = if inherited.is_some() { 2 } else { 1 };
+    let shared = inherited.is_some();
+    let parts = if shared { 2 } else { 1 };
+    let control = match config.control {
+        Some(addr) => Some(listener::bind(addr).await?),
+        None => None,
+    };
     let listener = match inherited {
         Some(listener) => listener::wrap(listener)?,
         None => listener::bind(config.listen).await?,
     };
-    eprintln!("{}: listening on {}", config.name, listener.local_addr()?);
-    let connections = (config.sockets / parts).saturating_sub(RESERVED);
+    let places = if control.is_some() { control::PLACES } else { 0 };
+    let connections = (config.sockets / parts).saturating_sub(RESERVED + places);
     let (clients, upstreams) = (connections / 2, connections - connections / 2);
     let settings = (config.settings.keep_alive, config.surroundings.connect_timeout);
-    let upstreams = Upstreams::new(upstreams.max(1), settings.0, settings.1);
+    let metrics = Metrics::new(&config.surroundings.classes);
+    let upstreams = Upstreams::new(upstreams.max(1), settings.0, settings.1, metrics.clone());
     let subscribe = Arc::new(Notify::new());
     let (driver, handle) = Driver::new(config.clone(), upstreams, subscribe.clone());
     let known = match discovery::read(&config.known, &config.surroundings) {
@@ -82,21 +94,32 @@
         }
     };
     let revision = known.as_ref().map(|known| known.revision);
-    let server = Server::new(config.clone(), handle.clone(), clients.max(1));
+    let life = Arc::new(Life::new());
+    let server = Server::new(config.clone(), handle.clone(), life.clone(), metrics.clone(), clients.max(1));
+    if let Some(listener) = control {
+        eprintln!("{}: control on {}", config.name, listener.local_addr()?);
+        tokio::spawn(Control::new(life.clone(), metrics, handle.clone()).listen(listener));
+    }
     let mut driving = tokio::spawn(driver.run(known));
     let (moved, at) = watch::channel(config.discovery);
     tokio::spawn(reload(hangup, moved));
-    tokio::spawn(discovery::follow(config, at, revision, subscribe, handle));
-    tokio::spawn(server.clone().listen(listener));
+    tokio::spawn(discovery::follow(config.clone(), at, revision, subscribe, handle));
+    eprintln!("{}: listening on {}", config.name, listener.local_addr()?);
+    let listening = tokio::spawn(server.clone().listen(listener));
     tokio::select! {
         _ = term.recv() => {}
         ended = &mut driving => {
             return Err(io::Error::other(format!("the driver ended: {ended:?}")).into());
         }
     }
-    server.drain();
+    life.end();
     let since = Instant::now();
-    while since.elapsed() < NEWCOMERS || since.elapsed() < DRAINED && !server.is_quiet(QUIET) {
+    // Newcomers to a socket that the platform holds are its other process's; nobody else has those to this one's.
+    if shared {
+        listening.abort();
+    }
+    let over = || if shared { server.is_empty() } else { server.is_quiet(QUIET) };
+    while !shared && since.elapsed() < NEWCOMERS || since.elapsed() < DRAINED && !over() {
         sleep(LOOK).await;
     }
     Ok(())
--- /dev/null
+++ b/src/bin/juniperspoke/metrics.rs
@@ -0,0 +1,118 @@
+//! The figures: counts since the start of the process, and their text form.
+
+use micapier::api::Hosts;
+use std::fmt::Write;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+const PREFIX: &str = "edge_balancer";
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Success,
+    Busy,
+    Failure,
+}
+
+const ENDINGS: [(Ending, &str); 3] =
+    [(Ending::Success, "success"), (Ending::Busy, "busy"), (Ending::Failure, "failure")];
+
+/// Counts of one class, by [`Ending`].
+#[derive(Default)]
+struct Calls([AtomicU64; ENDINGS.len()]);
+
+/// All that is counted. Each count is raised in one place, where the thing happens.
+pub struct Metrics {
+    classes: Vec<(String, Calls)>,
+    attempts: AtomicU64,
+    inflight: AtomicU64,
+}
+
+impl Metrics {
+    pub fn new(classes: &[String]) -> Arc<Metrics> {
+        let classes = classes.iter().map(|name| (name.clone(), Calls::default())).collect();
+        Arc::new(Metrics { classes, attempts: AtomicU64::new(0), inflight: AtomicU64::new(0) })
+    }
+
+    /// A request of this class has been taken.
+    pub fn take(self: &Arc<Self>, class: usize) -> Ticket {
+        self.inflight.fetch_add(1, Ordering::Relaxed);
+        Ticket { metrics: self.clone(), class, ending: Ending::Failure }
+    }
+
+    /// An attempt has been written whole to an upstream.
+    pub fn count_attempt(&self) {
+        self.attempts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The figures as operators read them: `name:value|c` for a count, `|g` for what is now.
+    pub fn text(&self, hosts: Hosts) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, value: u64, kind| {
+            // Writing to a string does not fail.
+            let _ = writeln!(text, "{PREFIX}.{name}:{value}|{kind}");
+        };
+        for (class, calls) in &self.classes {
+            for ((_, name), count) in ENDINGS.iter().zip(&calls.0) {
+                line(&format!("calls.{class}.{name}"), count.load(Ordering::Relaxed), 'c');
+            }
+        }
+        line("backend_calls", self.attempts.load(Ordering::Relaxed), 'c');
+        line("inflight", self.inflight.load(Ordering::Relaxed), 'g');
+        line("hosts_listed", hosts.listed as u64, 'g');
+        line("hosts_down", hosts.avoided as u64, 'g');
+        text
+    }
+}
+
+/// Held by a request from when it is taken until it has ended: it is in flight for so long, and then counted
+/// under one ending. One that nobody has told of has failed.
+pub struct Ticket {
+    metrics: Arc<Metrics>,
+    class: usize,
+    ending: Ending,
+}
+
+impl Ticket {
+    pub fn end(mut self, ending: Ending) {
+        self.ending = ending;
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.metrics.inflight.fetch_sub(1, Ordering::Relaxed);
+        if let Some((_, Calls(counts))) = self.metrics.classes.get(self.class) {
+            counts[self.ending as usize].fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_request_is_in_flight_and_then_counted_under_one_ending() {
+        let metrics = Metrics::new(&["pay".into(), "look".into()]);
+        let tickets = [0, 0, 1, 1].map(|class| metrics.take(class));
+        let hosts = Hosts { listed: 7, avoided: 2 };
+        assert!(metrics.text(hosts).contains("edge_balancer.inflight:4|g\n"));
+        for (ticket, ending) in
+            tickets.into_iter().zip([Some(Ending::Success), Some(Ending::Busy), Some(Ending::Success), None])
+        {
+            match ending {
+                Some(ending) => ticket.end(ending),
+                None => drop(ticket),
+            }
+        }
+        metrics.count_attempt();
+        let expected = "edge_balancer.calls.pay.success:1|c\nedge_balancer.calls.pay.busy:1|c\n\
+            edge_balancer.calls.pay.failure:0|c\nedge_balancer.calls.look.success:1|c\n\
+            edge_balancer.calls.look.busy:0|c\nedge_balancer.calls.look.failure:1|c\n\
+            edge_balancer.backend_calls:1|c\nedge_balancer.inflight:0|g\n\
+            edge_balancer.hosts_listed:7|g\nedge_balancer.hosts_down:2|g\n";
+        assert_eq!(metrics.text(hosts), expected);
+    }
+}
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -5,6 +5,8 @@
 
 use crate::config::{Config, flat_name};
 use crate::driver::{Answer, Handle, Inbound};
+use crate::life::{Life, Stage};
+use crate::metrics::{Ending, Metrics};
 use crate::upstream::{MAX_BODY, Outbound};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -24,7 +26,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// What speaks of the application's connection, or is written anew, and doesn't go on to upstreams.
 const KEPT_BACK: [&str; 10] = [
@@ -82,40 +84,46 @@
     config: Arc<Config>,
     driver: Handle,
     seen: Mutex<Seen>,
-    draining: AtomicBool,
+    life: Arc<Life>,
+    metrics: Arc<Metrics>,
     /// Bumped to close connections that are between requests.
     close_idle: watch::Sender<()>,
     room: Arc<Semaphore>,
     /// Connections that have carried a request and are still open.
     used: AtomicUsize,
+    /// All that are open.
+    open: AtomicUsize,
     accepted: watch::Sender<Instant>,
 }
 
 impl Server {
-    pub fn new(config: Arc<Config>, driver: Handle, most: usize) -> Arc<Server> {
+    pub fn new(
+        config: Arc<Config>, driver: Handle, life: Arc<Life>, metrics: Arc<Metrics>, most: usize,
+    ) -> Arc<Server> {
         Arc::new(Server {
             config,
             driver,
             seen: Mutex::default(),
-            draining: AtomicBool::new(false),
+            life,
+            metrics,
             close_idle: watch::Sender::new(()),
             room: Arc::new(Semaphore::new(most)),
             used: AtomicUsize::new(0),
+            open: AtomicUsize::new(0),
             accepted: watch::Sender::new(Instant::now()),
         })
     }
 
-    /// Readiness fails from now on and connections close after their answers.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
-        self.close_idle.send_replace(());
-    }
-
     /// Is every answer written, and has nobody come for so long?
     pub fn is_quiet(&self, newcomers: Duration) -> bool {
         self.used.load(Ordering::Relaxed) == 0 && self.accepted.borrow().elapsed() >= newcomers
     }
 
+    /// Is no connection open, not even one whose first request may be on its way?
+    pub fn is_empty(&self) -> bool {
+        self.open.load(Ordering::Relaxed) == 0
+    }
+
     pub async fn listen(self: Arc<Self>, listener: TcpListener) {
         let mut failing = false;
         loop {
@@ -125,8 +133,10 @@
                     failing = false;
                     self.accepted.send_replace(Instant::now());
                     let server = self.clone();
+                    self.open.fetch_add(1, Ordering::Relaxed);
                     tokio::spawn(async move {
-                        server.serve(stream).await;
+                        server.clone().serve(stream).await;
+                        server.open.fetch_sub(1, Ordering::Relaxed);
                         drop(permit);
                     });
                 }
@@ -164,21 +174,25 @@
             let server = self.clone();
             async move { Ok::<_, Infallible>(server.answer(request).await) }
         });
-        let mut close_idle = self.close_idle.subscribe();
+        let (mut close_idle, mut life, mut closed) = (self.close_idle.subscribe(), self.life.watch(), None);
         let mut http = http1::Builder::new();
         http.max_buf_size(MAX_HEAD).timer(TokioTimer::new()).header_read_timeout(HEAD_PATIENCE);
         let connection = http.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
         loop {
+            let due = life.borrow_and_update().close_idle.filter(|due| closed != Some(*due));
             tokio::select! {
+                // First reads what has come: what is closed on is not known to be on its way.
+                biased;
                 // Whatever ends it, whoever waited on it has left.
                 _ = connection.as_mut() => break,
-                _ = close_idle.changed() => {
-                    // Guards against closing on a newcomer whose first request is on its way.
-                    if used.load(Ordering::Relaxed) {
-                        connection.as_mut().graceful_shutdown();
-                    }
-                }
+                Ok(()) = life.changed() => continue,
+                () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => closed = due,
+                _ = close_idle.changed() => {}
+            }
+            // Guards against closing on a newcomer whose first request is on its way.
+            if used.load(Ordering::Relaxed) {
+                connection.as_mut().graceful_shutdown();
             }
         }
         if used.load(Ordering::Relaxed) {
@@ -190,15 +204,20 @@
         let since = Instant::now();
         let mut response = match request.uri().path() {
             "/health/ready" => {
-                let ready = self.driver.is_ready() && !self.draining.load(Ordering::Relaxed);
+                let ready = self.driver.is_ready() && self.life.stage() == Stage::Serving;
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
             _ => match self.read(request, since).await {
-                Ok(inbound) => worded(self.driver.ask(inbound).await),
+                Ok(inbound) => {
+                    let ticket = self.metrics.take(inbound.class);
+                    let answer = self.driver.ask(inbound).await;
+                    ticket.end(answer.ending());
+                    worded(answer)
+                }
                 Err((status, why)) => plain(status, why),
             },
         };
-        if self.draining.load(Ordering::Relaxed) {
+        if self.life.stage() != Stage::Serving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -268,6 +287,16 @@
     response
 }
 
+impl Answer {
+    fn ending(&self) -> Ending {
+        match self {
+            Answer::Served(..) => Ending::Success,
+            Answer::Refused(_) => Ending::Busy,
+            Answer::Failed => Ending::Failure,
+        }
+    }
+}
+
 /// The final answer in HTTP.
 fn worded(answer: Answer) -> Response<Full<Bytes>> {
     match answer {
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -4,9 +4,10 @@
 //! connection breaks under it, and so may run it twice.
 
 use crate::idle::IdleLimit;
+use crate::metrics::Metrics;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Body;
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
@@ -14,10 +15,13 @@
 use micapier::api::Outcome;
 use serde_json::Value;
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -72,6 +76,47 @@
     pub body: Bytes,
 }
 
+/// The body of an attempt. An attempt counts once the connection has taken over all of it: hyper takes the body
+/// out of a request when it writes its head, and lets go of it after the last byte.
+struct Outgoing {
+    body: Full<Bytes>,
+    metrics: Option<Arc<Metrics>>,
+}
+
+impl Outgoing {
+    /// It has not been written after all.
+    fn forget(mut self) {
+        self.metrics = None;
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for Outgoing {
+    fn drop(&mut self) {
+        if let Some(metrics) = self.metrics.take().filter(|_| self.body.is_end_stream()) {
+            metrics.count_attempt();
+        }
+    }
+}
+
 /// The body of an upstream's 200 and what it says of its type.
 pub type Served = (Bytes, Option<HeaderValue>);
 
@@ -86,7 +131,7 @@
 
 /// A connection and its place under the limit.
 struct Pooled {
-    connection: TcpConnection<Full<Bytes>>,
+    connection: TcpConnection<Outgoing>,
     /// How long it stood idle before this use.
     idle_for: Duration,
     _slot: Slot,
@@ -106,13 +151,15 @@
     most: usize,
     keep: Duration,
     connect_timeout: Duration,
+    metrics: Arc<Metrics>,
 }
 
 impl Upstreams {
-    pub fn new(most: usize, keep_alive: Duration, connect_timeout: Duration) -> Self {
+    pub fn new(most: usize, keep_alive: Duration, connect_timeout: Duration, metrics: Arc<Metrics>) -> Self {
         let (idle, open) = Default::default();
         let learned = Arc::new(Mutex::new(IdleLimit::new(Instant::now())));
-        Upstreams { idle, learned, open, most, keep: keep_alive - keep_alive / IDLE_MARGIN, connect_timeout }
+        let keep = keep_alive - keep_alive / IDLE_MARGIN;
+        Upstreams { idle, learned, open, most, keep, connect_timeout, metrics }
     }
 
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
@@ -186,7 +233,8 @@
             return answered(Outcome::Moot, Served::default());
         }
         let left = by.saturating_duration_since(Instant::now());
-        let mut request = Request::new(Full::new(outbound.body.clone()));
+        let (body, metrics) = (Full::new(outbound.body.clone()), Some(self.metrics.clone()));
+        let mut request = Request::new(Outgoing { body, metrics });
         *request.method_mut() = outbound.method.clone();
         *request.uri_mut() = outbound.uri.clone();
         *request.headers_mut() = outbound.headers.clone();
@@ -198,7 +246,7 @@
                 Ok(answer) => answer,
                 Err(mut error) => {
                     // Given back unwritten: it never left. Else it may have.
-                    let unsent = error.take_message().is_some();
+                    let unsent = error.take_message().map(|message| message.into_body().forget()).is_some();
                     let outcome = if unsent { Outcome::ConnectFailed } else { Outcome::Reset };
                     return (outcome, Served::default());
                 }
@@ -236,7 +284,7 @@
             return (Outcome::ConnectFailed, None);
         };
         let path = if held_name.is_some() { "/stats" } else { "/health/live" };
-        let mut request = Request::new(Full::new(Bytes::new()));
+        let mut request = Request::new(Outgoing { body: Full::new(Bytes::new()), metrics: None });
         *request.uri_mut() = Uri::from_static(path);
         request.headers_mut().extend(HeaderValue::from_str(&addr.to_string()).ok().map(|host| (HOST, host)));
         let answer = async {
@@ -267,7 +315,7 @@
     const LONG: Duration = Duration::from_secs(30);
 
     async fn attempt(addr: SocketAddr, open: bool, connect_timeout: Duration) -> Outcome {
-        let upstreams = Upstreams::new(4, LONG, connect_timeout);
+        let upstreams = Upstreams::new(4, LONG, connect_timeout, Metrics::new(&[]));
         let outbound = Outbound {
             method: Method::POST,
             uri: Uri::from_static("/api"),
@@ -316,7 +364,7 @@
 
     #[tokio::test]
     async fn connections_stay_within_the_limit_and_the_one_idle_longest_gives_way() {
-        let upstreams = Upstreams::new(2, LONG, LONG);
+        let upstreams = Upstreams::new(2, LONG, LONG, Metrics::new(&[]));
         let mut listeners = Vec::new();
         for _ in 0..3 {
             listeners.push(TcpListener::bind("127.0.0.1:0").await.expect("a port"));
@@ -333,7 +381,7 @@
 
     #[tokio::test]
     async fn a_connection_idle_for_longer_than_they_stay_good_is_not_used_again() {
-        let upstreams = Upstreams::new(4, LONG, LONG);
+        let upstreams = Upstreams::new(4, LONG, LONG, Metrics::new(&[]));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         let now = Instant::now();
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -3,9 +3,10 @@
 mod world;
 
 use serde_json::json;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{TcpListener, UdpSocket};
 use std::process::Stdio;
+use std::time::Duration;
 use world::*;
 
 fn ok(body: &str) -> Reply {
@@ -63,3 +64,180 @@
         assert!(error.contains("descriptor 5 is no listening stream socket"), "{what}: {error}");
     }
 }
+
+fn with_door(config: &mut serde_json::Value) {
+    config["control"] = json!("127.0.0.1:0");
+}
+
+#[test]
+fn the_door_says_no_to_what_is_no_call_and_changes_nothing() {
+    let upstream = Upstream::start(|_| ok("served"));
+    let sidecar = Sidecar::with(&[&upstream], with_door);
+    assert_eq!(sidecar.operate("GET /ready").0, 200);
+    for (call, status) in [
+        ("GET /", 404),
+        ("PUT /upstreams", 404),
+        ("GET /health/ready", 404),
+        ("GET /api", 404),
+        ("PUT /ready", 405),
+        ("POST /metrics", 405),
+        ("GET /drain", 405),
+        ("DELETE /undrain", 405),
+        ("no call at all", 400),
+    ] {
+        assert_eq!(sidecar.operate(call).0, status, "{call}");
+    }
+    let long = "x".repeat(20_000);
+    for (what, text) in [
+        ("a head without end", format!("PUT /drain HTTP/1.1\r\nX-Pad: {long}\r\n\r\n")),
+        ("a long line", format!("PUT /drain?{long} HTTP/1.1\r\n\r\n")),
+        ("a long body", format!("PUT /drain HTTP/1.1\r\nContent-Length: 20000\r\n\r\n{long}")),
+        ("half a head", "PUT /drain HTTP/1.1\r\nHost: n".into()),
+        ("half a body", "PUT /drain HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf".into()),
+        ("two lengths", "PUT /drain HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 1\r\n\r\n".into()),
+        ("nothing", String::new()),
+    ] {
+        let mut door = sidecar.door();
+        drop(door.write_all(text.as_bytes()));
+        let mut said = Vec::new();
+        // A reset is a close, too; a read that runs into the 30 s is not.
+        let end = door.read_to_end(&mut said).map_err(|error| error.kind());
+        assert!(!matches!(end, Err(std::io::ErrorKind::WouldBlock)), "{what}: still open");
+        let said = String::from_utf8_lossy(&said);
+        assert!(said.is_empty() || said.starts_with("HTTP/1.1 4"), "{what}: {said}");
+    }
+    assert_eq!(sidecar.ready(), 200, "none of it was a drain");
+    // One call to a connection.
+    let mut door = sidecar.door();
+    let twice = "GET /ready HTTP/1.1\r\nHost: n0\r\n\r\n".repeat(2);
+    door.write_all(twice.as_bytes()).expect("written");
+    let mut said = String::new();
+    drop(door.read_to_string(&mut said));
+    assert_eq!(said.matches("HTTP/1.1").count(), 1, "{said}");
+}
+
+#[test]
+fn the_door_answers_beside_callers_who_hold_connections_and_clients_who_hold_all_of_theirs() {
+    let upstream = Upstream::start(|_| ok("served"));
+    let sidecar = Sidecar::with(&[&upstream], |config| {
+        with_door(config);
+        config["limits"]["sockets"] = json!(64);
+    });
+    let _clients: Vec<_> = (0..64).map(|_| sidecar.connect()).collect();
+    // Were they waited for in turn, some for 2 s each, the call would be far behind.
+    let held: Vec<_> = (0..200)
+        .map(|i| {
+            let mut door = sidecar.door();
+            drop(door.write_all(if i % 2 == 0 { b"GET /rea" } else { b"" }));
+            door
+        })
+        .collect();
+    assert_eq!(sidecar.operate("GET /ready").0, 200);
+    assert!(sidecar.descriptors() <= 64, "{}", sidecar.descriptors());
+    drop(held);
+}
+
+#[test]
+fn without_control_there_is_no_door_and_one_that_cannot_be_opened_is_a_start_error() {
+    let taken = listener();
+    let addr = taken.local_addr().expect("an address").to_string();
+    for (text, said) in [("nowhere", "control"), (addr.as_str(), addr.as_str())] {
+        let error = start_error(":", Stdio::null(), |config| config["control"] = json!(text));
+        assert!(error.contains(said), "{text}: {error}");
+    }
+}
+
+#[test]
+fn each_request_is_counted_once_under_what_became_of_it() {
+    let upstream = Upstream::start(|seen| match seen.header("x-call-cost") {
+        Some("1") => Reply::text(500, "", ""),
+        Some("2") => Reply::Silence,
+        _ => ok("served"),
+    });
+    let sidecar = Sidecar::with(&[&upstream], with_door);
+    for class in ["pay", "report", "look"] {
+        for ending in ["success", "busy", "failure"] {
+            assert_eq!(sidecar.figure(&format!("calls.{class}.{ending}")), 0);
+        }
+    }
+    let bad = call("pay", 5.0).header("X-Budget", "soon");
+    for (call, status) in [
+        (call("pay", 5.0), 200),
+        (call("look", 5.0).method("GET"), 200),
+        (call("pay", 5.0).header("X-Call-Cost", "1"), 502),
+        (bad, 400),
+    ] {
+        assert_eq!(sidecar.ask(&call).status, status);
+    }
+    let mut waiting = sidecar.connect();
+    waiting.write_all(call("pay", 60.0).header("X-Call-Cost", "2").text().as_bytes()).expect("written");
+    upstream.wait_for("it", |state| state.requests.len() == 4);
+    assert_eq!((sidecar.figure("inflight"), sidecar.figure("backend_calls")), (1, 4));
+    drop(waiting);
+    sidecar.wait_until("its end", |sidecar| sidecar.figure("inflight") == 0);
+    sidecar.discovery.say(2, true, &[upstream.line("Terminating")]);
+    sidecar.discovery.wait_for_index(2);
+    assert_eq!(sidecar.ask(&call("report", 5.0).header("Idempotency-Key", "k")).status, 503);
+    for (name, count) in [
+        ("calls.pay.success", 1),
+        ("calls.pay.busy", 0),
+        ("calls.pay.failure", 2),
+        ("calls.look.success", 1),
+        ("calls.report.busy", 1),
+        ("backend_calls", 4),
+        ("hosts_listed", 1),
+        ("hosts_down", 0),
+    ] {
+        assert_eq!(sidecar.figure(name), count, "{name}");
+    }
+}
+
+#[test]
+fn a_drain_sends_clients_away_without_losing_one_and_can_be_taken_back() {
+    let upstream = Upstream::start(|_| {
+        std::thread::sleep(Duration::from_millis(300));
+        ok("served")
+    });
+    let sidecar = Sidecar::with(&[&upstream], with_door);
+    for _ in 0..2 {
+        let mut idle = sidecar.connect();
+        idle.write_all(call("pay", 5.0).text().as_bytes()).expect("written");
+        assert_eq!(Answer::read(&mut idle).status, 200);
+        let (mut busy, before) = (sidecar.connect(), upstream.requests().len());
+        busy.write_all(call("pay", 5.0).text().as_bytes()).expect("written");
+        upstream.wait_for("it", |state| state.requests.len() == before + 1);
+        for _ in 0..2 {
+            assert_eq!(sidecar.operate("PUT /drain").0, 200);
+            assert_eq!(sidecar.ready(), 503);
+        }
+        assert_eq!(sidecar.operate("GET /ready").0, 200, "the process runs on");
+        // Whoever has a connection may still use it, once, unless it has been closed; so may a newcomer.
+        drop(idle.write_all(call("pay", 5.0).text().as_bytes()));
+        let newcomer = sidecar.ask(&call("pay", 5.0));
+        let answers = [Answer::try_read(&mut idle), Answer::try_read(&mut busy), Some(newcomer)];
+        assert!(answers[1].is_some(), "what was taken is answered");
+        for answer in answers.into_iter().flatten() {
+            assert_eq!((answer.status, answer.header("connection")), (200, Some("close")));
+        }
+        for mut connection in [idle, busy] {
+            assert_eq!(connection.read(&mut [0; 8]).unwrap_or(0), 0);
+        }
+        for _ in 0..2 {
+            assert_eq!(sidecar.operate("PUT /undrain").0, 200);
+            assert_eq!(sidecar.ready(), 200);
+        }
+    }
+    let answer = sidecar.ask(&call("pay", 5.0));
+    assert_eq!((answer.status, answer.header("connection")), (200, None));
+}
+
+#[test]
+fn a_drain_closes_connections_that_stay_idle() {
+    let upstream = Upstream::start(|_| ok("served"));
+    let sidecar = Sidecar::with(&[&upstream], with_door);
+    let mut idle = sidecar.connect();
+    idle.write_all(call("pay", 5.0).text().as_bytes()).expect("written");
+    assert_eq!(Answer::read(&mut idle).status, 200);
+    assert_eq!(sidecar.operate("PUT /drain").0, 200);
+    assert_eq!(idle.read(&mut [0; 8]).expect("an end"), 0);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -341,7 +341,8 @@
         Answer::try_read(from).expect("an answer")
     }
 
-    fn try_read(from: &mut TcpStream) -> Option<Answer> {
+    /// `None` if the connection was closed instead.
+    pub fn try_read(from: &mut TcpStream) -> Option<Answer> {
         let seen = Seen::read(&mut BufReader::new(from))?;
         let status = seen.line.split(' ').nth(1).and_then(|text| text.parse().ok()).expect("a status");
         Some(Answer { status, body: seen.body.clone(), seen })
@@ -355,6 +356,7 @@
 pub struct Sidecar {
     process: Child,
     addr: SocketAddr,
+    control: Option<SocketAddr>,
     pub discovery: Arc<Discovery>,
     config: Value,
     /// Its own, with the configuration; the processes of an upgrade share it.
@@ -473,10 +475,15 @@
         command.env("BALANCER_DISCOVERY", discovery.addr.to_string());
         let mut process = command.stdin(stdin).stderr(Stdio::piped()).spawn().expect("started");
         let mut log = BufReader::new(process.stderr.take().expect("a log")).lines();
-        let addr = log.find_map(|line| line.ok()?.split_once("listening on ")?.1.parse().ok());
+        let mut control = None;
+        let addr = log.find_map(|line| {
+            let line = line.ok()?;
+            control = line.split_once("control on ").and_then(|(_, addr)| addr.parse().ok()).or(control);
+            line.split_once("listening on ")?.1.parse().ok()
+        });
         thread::spawn(move || log.for_each(drop));
         let asked = config["settings"]["discovery"] != "pushed";
-        let sidecar = Sidecar { process, addr: addr.expect("it listens"), discovery, config, dir };
+        let sidecar = Sidecar { process, addr: addr.expect("it listens"), control, discovery, config, dir };
         sidecar.wait_until("readiness", |sidecar| sidecar.ready() == 200);
         if !asked {
             drop(sidecar.discovery.registry.wait("a call", |r| r.watches.iter().any(|w| w.0 == 1)));
@@ -503,6 +510,31 @@
         stream
     }
 
+    /// A connection to the door for operators.
+    pub fn door(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.control.expect("a door")).expect("accepted");
+        stream.set_read_timeout(Some(LONG)).expect("set");
+        stream
+    }
+
+    /// An operator's call, such as `GET /ready`: its status and text; 0 if it was closed without a word.
+    pub fn operate(&self, call: &str) -> (u16, String) {
+        let mut stream = self.door();
+        drop(stream.write_all(format!("{call} HTTP/1.1\r\nHost: n0\r\n\r\n").as_bytes()));
+        Answer::try_read(&mut stream).map_or((0, String::new()), |answer| (answer.status, answer.body))
+    }
+
+    /// A figure by its name after the prefix.
+    pub fn figure(&self, name: &str) -> u64 {
+        let (status, text) = self.operate("GET /metrics");
+        assert_eq!(status, 200, "{text}");
+        let value = text.lines().find_map(|line| {
+            let (found, rest) = line.strip_prefix("edge_balancer.")?.split_once(':')?;
+            (found == name).then(|| rest.split_once('|').expect("a kind").0.parse().expect("a number"))
+        });
+        value.unwrap_or_else(|| panic!("{name} in {text}"))
+    }
+
     /// On a connection of its own.
     pub fn ask(&self, call: &Call) -> Answer {
         let mut stream = self.connect();
