Let operators take upstreams out by hand, over lists and upgrades

The module keeps the bans beside the list (state.rs: `in_use`), so that what discovery says in between has no say.

What returns by hand is cold from its return on. Seen in the module's test: with others idle it then lost every draw (0 of 100), since a start without samples counts as typical and its weight as cold. It now gets one request first, and goes on by its score.

--- a/src/api.rs
+++ b/src/api.rs
@@ -326,6 +326,8 @@
     Timer(TimerId),
     /// The list changed, or could not be had.
     List(ListNews),
+    /// These servers are out of use by hand, and no others; the list has no say in it.
+    Banned(Vec<ServerId>),
 }
 
 /// What a balancer asks its caller to do, in this order.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -113,14 +113,21 @@
             Event::Timer(PULSE_TIMER) => self.pulse_set = false,
             Event::Timer(TimerId(mark)) => self.review(RequestId(mark as u32), out),
             Event::List(news) => self.follow_list(news, out),
+            Event::Banned(servers) => self.ban(servers.into_iter().collect()),
         }
         self.dispatch(out);
     }
 
     /// How many servers are listed, and how many of them are avoided now.
     pub fn hosts(&self) -> Hosts {
-        let listed = self.servers.values().filter(|s| !s.is(Availability::Gone)).count();
-        Hosts { listed, avoided: self.ejected().count() }
+        let listed = || self.servers.values().filter(|s| !s.is(Availability::Gone));
+        let banned = listed().filter(|s| self.banned.contains(&s.line.server)).count();
+        Hosts { listed: listed().count(), avoided: banned + self.ejected().count() }
+    }
+
+    /// Does the list name this server now?
+    pub fn lists(&self, server: ServerId) -> bool {
+        self.servers.get(&server).is_some_and(|s| !s.is(Availability::Gone))
     }
 
     // ---- the server list ----
@@ -208,6 +215,12 @@
         if self.held.is_empty() {
             return;
         }
+        // Guards against waiting for what only a hand can bring back.
+        if self.ready.is_empty() && self.servers.values().any(|s| s.is(Availability::Ready)) {
+            self.note_shedding(out);
+            let held: Vec<RequestId> = self.held.iter().map(|held| held.1).collect();
+            return held.into_iter().for_each(|id| self.give_up(id, out));
+        }
         let limit = self.limit();
         let (mut room, mut at) = (limit - self.in_flight(), 0);
         while room > 0.0 && at < self.held.len() {
@@ -369,7 +382,7 @@
         let (job, looks) = (request.job, request.looks);
         let Some(group) = self.allowed(request) else { return self.give_up(id, out) };
         let repeat = self.settings.classes[job.class].repeat;
-        let fits = |s: &&Server| s.is(Availability::Ready) && (group.is_none() || s.group(repeat) == group);
+        let fits = |s: &&Server| self.in_use(s) && (group.is_none() || s.group(repeat) == group);
         let well = |c: &(ServerId, Sight)| self.servers.get(&c.0).filter(|_| c.1 == Sight::Well).filter(fits);
         let well: Vec<ServerId> = request.candidates.iter().filter_map(well).map(|s| s.line.server).collect();
         let in_time = |s: &ServerId| self.now + self.finish(&job, &self.servers[s]) <= job.aim_at;
@@ -446,7 +459,25 @@
                 found = self.pair(&self.ready, part, draws, |s| may(s) && healthy(s));
             }
         }
-        if found.is_empty() { self.pair(&self.ready, usize::MAX, draws, may) } else { found }
+        if found.is_empty() {
+            found = self.pair(&self.ready, usize::MAX, draws, may);
+        }
+        // Guards against leaving unused for long what operators have brought back: cold and unknown, it would
+        // lose every draw to those that are idle. It is drawn each time until it has had one, and wins.
+        let untried = |s: &Server| self.is_untried(s) && may(s) && healthy(s);
+        let untried = |id: &&ServerId| self.servers.get(id).is_some_and(untried);
+        if let Some(&id) = self.returned.keys().find(untried) {
+            found.retain(|other| *other != id);
+            found.truncate(1);
+            found.insert(0, id);
+        }
+        found
+    }
+
+    /// Is it back by hand, and has had nothing since?
+    fn is_untried(&self, server: &Server) -> bool {
+        let back = self.returned.contains_key(&server.line.server);
+        back && self.in_use(server) && server.usual == 0.0 && server.flights.is_empty()
     }
 
     /// The lower score wins.
@@ -483,6 +514,9 @@
     /// `ewma × (in_flight + 1) ÷ max(weight, 1)`: the average as for this class and kind, the weight by how
     /// warm the server is. It may be as cold as is allowed, or warm: the geometric mean is taken.
     fn score(&self, server: &Server, class: usize) -> f64 {
+        if self.is_untried(server) {
+            return 0.0;
+        }
         let weight = server.line.weight.max(1.0) * self.warmth(server).sqrt();
         let in_flight = server.held.unwrap_or(0.0).max(server.flights.len() as f64);
         self.time_there(server, class) * (in_flight + 1.0) / weight
@@ -494,7 +528,7 @@
     }
 
     fn warmth(&self, server: &Server) -> f64 {
-        server.line.started.map_or(1.0, |started| self.warmth_from(ms(started)))
+        self.started(server).map_or(1.0, |started| self.warmth_from(started))
     }
 
     /// The share of its capacity that a server has this long after its start, at least.
@@ -654,10 +688,11 @@
         let dark = self.dark.entry(zone).or_default();
         dark.retain(|id| self.servers.contains_key(id));
         dark.insert(id);
-        let lit = |s: &&Server| s.health == Health::Good && s.is(Availability::Ready);
+        let dark = dark.len();
+        let lit = |s: &&Server| s.health == Health::Good && self.in_use(s);
         let (lost, left): (Vec<&Server>, _) =
             self.servers.values().filter(lit).partition(|s| s.line.zone == zone);
-        if dark.len() < DARK || left.is_empty() {
+        if dark < DARK || left.is_empty() {
             return;
         }
         for id in lost.into_iter().map(|server| server.line.server).collect::<Vec<_>>() {
--- a/src/bin/juniperspoke/control.rs
+++ b/src/bin/juniperspoke/control.rs
@@ -1,5 +1,6 @@
 //! The door for operators: parses their calls, asks whoever owns what they are about, and words the answers.
 
+use crate::bans::Bans;
 use crate::driver::Handle;
 use crate::life::{Life, Stage};
 use crate::metrics::Metrics;
@@ -11,6 +12,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use percent_encoding::percent_decode_str;
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -46,14 +48,15 @@
     life: Arc<Life>,
     metrics: Arc<Metrics>,
     driver: Handle,
+    bans: Arc<Bans>,
     places: Arc<Semaphore>,
     silent: Mutex<Silent>,
 }
 
 impl Control {
-    pub fn new(life: Arc<Life>, metrics: Arc<Metrics>, driver: Handle) -> Arc<Control> {
+    pub fn new(life: Arc<Life>, metrics: Arc<Metrics>, driver: Handle, bans: Arc<Bans>) -> Arc<Control> {
         let (places, silent) = (Arc::new(Semaphore::new(PLACES)), Mutex::default());
-        Arc::new(Control { life, metrics, driver, places, silent })
+        Arc::new(Control { life, metrics, driver, bans, places, silent })
     }
 
     pub async fn listen(self: Arc<Self>, listener: TcpListener) {
@@ -136,13 +139,31 @@
                     Ok(yes("taking clients"))
                 }
             },
-            ("/ready" | "/metrics" | "/drain" | "/undrain", _) => {
-                Err(no(StatusCode::METHOD_NOT_ALLOWED, "GET for /ready and /metrics, PUT for the others"))
-            }
+            ("/upstreams/disable", Method::PUT) => self.ban(head.uri.query(), true).await,
+            ("/upstreams/enable", Method::PUT) => self.ban(head.uri.query(), false).await,
+            (
+                "/ready" | "/metrics" | "/drain" | "/undrain" | "/upstreams/disable" | "/upstreams/enable",
+                _,
+            ) => Err(no(StatusCode::METHOD_NOT_ALLOWED, "GET for /ready and /metrics, PUT for the others")),
             _ => Err(no(StatusCode::NOT_FOUND, "no such call")),
         }
     }
 
+    /// One that is out stays known while it is, whether or not the list names it.
+    async fn ban(&self, query: Option<&str>, out: bool) -> Result<Said, Said> {
+        let name = name(query.unwrap_or_default())?;
+        if !self.driver.lists(&name).await && !self.bans.holds(&name).await {
+            return Err(no(StatusCode::NOT_FOUND, "no upstream has this id"));
+        }
+        match self.bans.change(&name, out, &self.driver).await {
+            Ok(()) => Ok(yes(if out { "out of use" } else { "in use" })),
+            Err(error) => {
+                eprintln!("bans: {error}");
+                Err(no(StatusCode::INTERNAL_SERVER_ERROR, &format!("not changed: {error}")))
+            }
+        }
+    }
+
     /// A process that drains can serve; one that ends can't.
     fn ready(&self) -> Result<Said, Said> {
         if self.life.stage() == Stage::Ending {
@@ -155,6 +176,28 @@
     }
 }
 
+/// The one `name` of a query. Guards against an id that is cut or spelt wrong on its way: it would be another's.
+fn name(query: &str) -> Result<String, Said> {
+    let bad = |why| no(StatusCode::BAD_REQUEST, why);
+    let mut names = query.split('&').filter_map(|pair| {
+        let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
+        (key == "name").then_some(value)
+    });
+    let (Some(text), None) = (names.next(), names.next()) else {
+        return Err(bad("one `name` is needed"));
+    };
+    let escaped =
+        |rest: &str| rest.as_bytes().get(..2).is_some_and(|hex| hex.iter().all(u8::is_ascii_hexdigit));
+    if !text.split('%').skip(1).all(escaped) {
+        return Err(bad("a broken escape in `name`"));
+    }
+    let name = percent_decode_str(text).decode_utf8().map_err(|_| bad("`name` is no text"))?;
+    if name.is_empty() {
+        return Err(bad("`name` is empty"));
+    }
+    Ok(name.into_owned())
+}
+
 fn yes(text: &str) -> Said {
     (StatusCode::OK, text.to_owned())
 }
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -1,8 +1,9 @@
 //! Owns the decisions: turns what happens into the module's events, carries its actions out in order, and is
 //! the one place that knows who is still owed an answer.
 
+use crate::bans::Names;
 use crate::config::Config;
-use crate::discovery::News;
+use crate::discovery::{News, server_id};
 use crate::upstream::{Outbound, Served, Target, Upstreams};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
@@ -50,8 +51,11 @@
     Probed(ServerId, Outcome, Option<f64>),
     List(News),
     ListFailed,
-    /// Someone asks for these figures.
+    /// Someone asks for these figures, or whether the list names an upstream.
     Hosts(oneshot::Sender<Hosts>),
+    Lists(ServerId, oneshot::Sender<bool>),
+    /// These are out of use by hand; told once nothing new goes there.
+    Banned(Vec<ServerId>, oneshot::Sender<()>),
 }
 
 /// How the other parts tell the driver what happens.
@@ -82,11 +86,28 @@
         self.ready.load(Ordering::Relaxed)
     }
 
+    /// Asks the driver; `None` if it has ended.
+    async fn call<T>(&self, happening: impl FnOnce(oneshot::Sender<T>) -> Happening) -> Option<T> {
+        let (to, answer) = oneshot::channel();
+        self.tell(happening(to));
+        answer.await.ok()
+    }
+
     /// `None` if the driver has ended.
     pub async fn hosts(&self) -> Option<Hosts> {
-        let (to, hosts) = oneshot::channel();
-        self.tell(Happening::Hosts(to));
-        hosts.await.ok()
+        self.call(Happening::Hosts).await
+    }
+
+    /// Does the list name this upstream?
+    pub async fn lists(&self, name: &str) -> bool {
+        self.call(|to| Happening::Lists(server_id(name), to)).await.unwrap_or(false)
+    }
+
+    /// These upstreams are out of use by hand, and no others; back once nothing new goes there.
+    pub async fn ban(&self, names: Names) {
+        let servers = names.iter().map(|name| server_id(name)).collect();
+        // Without a driver nothing goes anywhere.
+        let _ = self.call(|to| Happening::Banned(servers, to)).await;
     }
 
     /// Hands a request over and waits for its final answer.
@@ -124,6 +145,7 @@
     requests: HashMap<RequestId, Owed>,
     timers: BinaryHeap<Reverse<(Instant, Due)>>,
     servers: HashMap<ServerId, Arc<Target>>,
+    banned: HashSet<ServerId>,
     upstreams: Upstreams,
     subscribe: Arc<Notify>,
     config: Arc<Config>,
@@ -145,6 +167,7 @@
             requests: HashMap::new(),
             timers: BinaryHeap::new(),
             servers: HashMap::new(),
+            banned: HashSet::new(),
             upstreams,
             subscribe,
             config,
@@ -225,6 +248,11 @@
             Happening::ListFailed => self.handle_event(Event::List(ListNews::Failed)),
             // Whoever asked may have left.
             Happening::Hosts(to) => drop(to.send(self.balancer.hosts())),
+            Happening::Lists(server, to) => drop(to.send(self.balancer.lists(server))),
+            Happening::Banned(servers, to) => {
+                self.ban(servers);
+                let _ = to.send(());
+            }
         }
     }
 
@@ -365,7 +393,7 @@
             if known.is_some_and(|target| ready && target.addr == *addr) {
                 continue;
             }
-            let open = AtomicBool::new(true);
+            let open = AtomicBool::new(!self.banned.contains(&line.server));
             let new = ready.then(|| Arc::new(Target { addr: *addr, open }));
             self.close(line.server);
             self.servers.extend(new.map(|target| (line.server, target)));
@@ -374,12 +402,33 @@
             let left: Vec<ServerId> = self.servers.keys().filter(|id| !named.contains(id)).copied().collect();
             left.into_iter().for_each(|id| self.close(id));
         }
-        let used: HashSet<_> = self.servers.values().map(|target| target.addr).collect();
-        self.upstreams.retain(|addr| used.contains(addr));
+        self.close_unused();
         self.handle.ready.store(!self.servers.is_empty(), Ordering::Relaxed);
         (news.complete, news.members.into_iter().map(|(line, _)| line).collect())
     }
 
+    /// Closes what is kept to upstreams that nothing new goes to.
+    fn close_unused(&self) {
+        let open = self.servers.values().filter(|target| target.open.load(Ordering::Relaxed));
+        let used: HashSet<_> = open.map(|target| target.addr).collect();
+        self.upstreams.retain(|addr| used.contains(addr));
+    }
+
+    /// Nothing new goes to these, also of what waits for a connection; others are open again.
+    fn ban(&mut self, servers: Vec<ServerId>) {
+        self.banned = servers.iter().copied().collect();
+        for (id, target) in &mut self.servers {
+            let open = target.open.load(Ordering::Relaxed);
+            if self.banned.contains(id) {
+                target.open.store(false, Ordering::Relaxed);
+            } else if !open {
+                *target = Arc::new(Target { addr: target.addr, open: AtomicBool::new(true) });
+            }
+        }
+        self.close_unused();
+        self.handle_event(Event::Banned(servers));
+    }
+
     /// Nothing new goes there, also of what waits for a connection.
     fn close(&mut self, server: ServerId) {
         if let Some(target) = self.servers.remove(&server) {
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -2,6 +2,7 @@
 // `listener` has the one line that is allowed.
 #![deny(unsafe_code)]
 
+mod bans;
 mod config;
 mod control;
 mod discovery;
@@ -13,6 +14,7 @@
 mod server;
 mod upstream;
 
+use bans::Bans;
 use config::{Config, ConfigError};
 use control::Control;
 use driver::Driver;
@@ -94,13 +96,16 @@
         }
     };
     let revision = known.as_ref().map(|known| known.revision);
+    let bans = Bans::open(&config.name);
     let life = Arc::new(Life::new());
     let server = Server::new(config.clone(), handle.clone(), life.clone(), metrics.clone(), clients.max(1));
     if let Some(listener) = control {
         eprintln!("{}: control on {}", config.name, listener.local_addr()?);
-        tokio::spawn(Control::new(life.clone(), metrics, handle.clone()).listen(listener));
+        tokio::spawn(Control::new(life.clone(), metrics, handle.clone(), bans.clone()).listen(listener));
     }
     let mut driving = tokio::spawn(driver.run(known));
+    // Before the first request: the driver takes what it is told in order.
+    tokio::spawn(bans.follow(shared, handle.clone()));
     let (moved, at) = watch::channel(config.discovery);
     tokio::spawn(reload(hangup, moved));
     tokio::spawn(discovery::follow(config.clone(), at, revision, subscribe, handle));
--- a/src/state.rs
+++ b/src/state.rs
@@ -238,6 +238,9 @@
     /// ... those that may still be cold, with their start, and those ejected.
     pub(crate) cold: Vec<(ServerId, f64)>,
     pub(crate) ejected: BTreeSet<ServerId>,
+    /// Servers out of use by hand, and when those that no longer are came back.
+    pub(crate) banned: BTreeSet<ServerId>,
+    pub(crate) returned: BTreeMap<ServerId, f64>,
     /// Servers that took no connection since the last answer from their zone, by zone.
     pub(crate) dark: BTreeMap<u16, BTreeSet<ServerId>>,
     /// Attempts out.
@@ -284,6 +287,8 @@
             home: Vec::new(),
             cold: Vec::new(),
             ejected: BTreeSet::new(),
+            banned: BTreeSet::new(),
+            returned: BTreeMap::new(),
             dark: BTreeMap::new(),
             flying: 0,
             requests: BTreeMap::new(),
@@ -333,8 +338,8 @@
     /// bound: a server that left goes once its attempts have ended.
     fn index(&mut self, id: ServerId) {
         let Some(server) = self.servers.get(&id) else { return };
-        let (ready, home) = (server.is(Availability::Ready), server.line.zone == self.settings.zone);
-        let started = server.line.started.map(ms).filter(|_| ready);
+        let (ready, home) = (self.in_use(server), server.line.zone == self.settings.zone);
+        let started = self.started(server).filter(|_| ready);
         let (left, good) = (server.is(Availability::Gone), server.health == Health::Good);
         set(&mut self.ready, id, ready);
         set(&mut self.home, id, ready && home);
@@ -415,7 +420,33 @@
 
     /// Ready servers that are ejected.
     pub(crate) fn ejected(&self) -> impl Iterator<Item = &Server> {
-        self.ejected.iter().filter_map(|id| self.servers.get(id))
+        self.ejected.iter().filter_map(|id| self.servers.get(id)).filter(|server| self.in_use(server))
+    }
+
+    /// Does it take requests, by the list and by hand?
+    pub(crate) fn in_use(&self, server: &Server) -> bool {
+        server.is(Availability::Ready) && !self.banned.contains(&server.line.server)
+    }
+
+    /// Its last start. Operators restart what they take out, and the list may not know of it yet.
+    pub(crate) fn started(&self, server: &Server) -> Option<f64> {
+        let (listed, returned) = (server.line.started.map(ms), self.returned.get(&server.line.server));
+        listed.into_iter().chain(returned.copied()).reduce(f64::max)
+    }
+
+    /// These are out of use by hand, and no others. Who returns is a new server.
+    pub(crate) fn ban(&mut self, banned: BTreeSet<ServerId>) {
+        let before = std::mem::replace(&mut self.banned, banned);
+        let warm_since = self.now - ms(self.settings.slow_start.ramp_time);
+        self.returned.retain(|_, at| *at > warm_since);
+        for &id in before.difference(&self.banned) {
+            self.returned.insert(id, self.now);
+            if let Some(server) = self.servers.get_mut(&id) {
+                let flights = std::mem::take(&mut server.flights);
+                *server = Server { flights, ..Server::new(server.line.clone(), self.now) };
+            }
+        }
+        before.symmetric_difference(&self.banned.clone()).for_each(|&id| self.index(id));
     }
 
     pub(crate) fn set_timer(&self, id: RequestId, after: f64, out: &mut Vec<Action>) {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1045,3 +1045,54 @@
     }
     assert!(probes(&more).is_empty() && refused(&more), "{more:?}");
 }
+
+#[test]
+fn what_is_out_by_hand_gets_nothing_whatever_the_list_says_and_returns_cold() {
+    let mut rig = Rig::new(settings(vec![class(Repeat::Safe)]), vec![line(1), line(2)]);
+    rig.serve_many(20, |_| 30);
+    rig.tell(Event::Banned(vec![ServerId(1)]));
+    assert_eq!(rig.balancer.hosts(), Hosts { listed: 2, avoided: 1 });
+    for news in [
+        ListNews::Full(vec![line(1), line(2)]),
+        ListNews::Delta(vec![Listed { availability: Availability::Gone, ..line(1) }]),
+        ListNews::Delta(vec![Listed { started: Some(ms(rig.now)), ..line(1) }]),
+        ListNews::Full(vec![line(1), line(2)]),
+    ] {
+        rig.tell(Event::List(news));
+        for _ in 0..20 {
+            assert_eq!(rig.serve(|_| 30), ServerId(2));
+        }
+    }
+    // Told twice, it needs one return.
+    rig.tell(Event::Banned(vec![ServerId(1)]));
+    rig.tell(Event::Banned(vec![]));
+    assert_eq!(rig.balancer.hosts(), Hosts { listed: 2, avoided: 0 });
+    let back = (0..100).filter(|_| rig.serve(|_| 30) == ServerId(1)).count();
+    assert!((1..35).contains(&back), "{back} of 100 to one that is cold, though listed as long up");
+    // The list may name a start that was before the return.
+    rig.tell(Event::List(ListNews::Delta(vec![Listed { started: Some(ms(100)), ..line(1) }])));
+    let back = (0..100).filter(|_| rig.serve(|_| 30) == ServerId(1)).count();
+    assert!(back < 40, "{back} of 100");
+    rig.wait(20_000);
+    let back = (0..100).filter(|_| rig.serve(|_| 30) == ServerId(1)).count();
+    assert!((35..=65).contains(&back), "{back} of 100 once it is warm");
+}
+
+#[test]
+fn with_all_out_by_hand_requests_are_refused_at_once_and_what_is_out_is_waited_for() {
+    let mut rig = Rig::new(settings(vec![class(Repeat::Safe)]), vec![line(1), line(2)]);
+    let (early, _) = rig.ask();
+    rig.tell(Event::Banned(vec![ServerId(1), ServerId(2)]));
+    let (_, said) = rig.ask();
+    assert!(refused(&said) && sent(&said).is_none(), "{said:?}");
+    assert!(rig.end(early, 0, Outcome::Ok, 30).iter().all(|action| matches!(action, Action::Log(_))));
+    // One that may be sent again has nowhere to go.
+    rig.tell(Event::Banned(vec![ServerId(1)]));
+    let (id, said) = rig.ask();
+    assert_eq!(sent(&said), Some(ServerId(2)));
+    rig.tell(Event::Banned(vec![ServerId(1), ServerId(2)]));
+    assert!(refused(&rig.end(id, 0, Outcome::ConnectFailed, 1)));
+    rig.tell(Event::Banned(vec![ServerId(2)]));
+    let (_, said) = rig.ask();
+    assert!(sent(&said).is_some() || !refused(&said), "{said:?}");
+}
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -241,3 +241,114 @@
     assert_eq!(sidecar.operate("PUT /drain").0, 200);
     assert_eq!(idle.read(&mut [0; 8]).expect("an end"), 0);
 }
+
+#[test]
+fn an_upstream_out_by_hand_gets_nothing_until_one_call_brings_it_back() {
+    let both = [(); 2].map(|()| Upstream::start(|_| ok("served")));
+    let sidecar = Sidecar::with(&[&both[0], &both[1]], with_door);
+    let (out, other) = (&both[0], &both[1]);
+    let id = out.line("Ready")["id"].as_str().expect("an id").to_owned();
+    let serve = |count: usize| {
+        let before = out.requests().len();
+        for _ in 0..count {
+            assert_eq!(sidecar.ask(&call("pay", 5.0)).status, 200);
+        }
+        out.requests().len() - before
+    };
+    assert!(serve(20) > 0);
+    for _ in 0..2 {
+        assert_eq!(sidecar.operate(&format!("PUT /upstreams/disable?name={id}")).0, 200);
+    }
+    out.wait_for("kept connections to close", |state| state.closed_by_peer == state.accepted);
+    assert_eq!((serve(20), sidecar.figure("hosts_listed"), sidecar.figure("hosts_down")), (0, 2, 1));
+    // Whatever discovery says.
+    for (revision, phase) in [(2, "Gone"), (3, "Ready")] {
+        sidecar.discovery.say(revision, false, &[out.line(phase)]);
+        sidecar.discovery.wait_for_index(revision);
+        assert_eq!(serve(10), 0, "{phase}");
+    }
+    assert_eq!(sidecar.operate(&format!("PUT /upstreams/enable?name={id}")).0, 200);
+    assert!(serve(60) > 0);
+    // All out: nothing is sent, and a refusal comes at once.
+    for upstream in [out, other] {
+        let id = upstream.line("Ready")["id"].as_str().expect("an id").to_owned();
+        assert_eq!(sidecar.operate(&format!("PUT /upstreams/disable?name={id}")).0, 200);
+    }
+    let before = out.requests().len() + other.requests().len();
+    assert_eq!(sidecar.ask(&call("pay", 60.0)).status, 503);
+    assert_eq!(out.requests().len() + other.requests().len(), before);
+    assert_eq!((sidecar.figure("hosts_down"), sidecar.ready()), (2, 200));
+}
+
+#[test]
+fn a_bad_name_of_an_upstream_is_told_and_changes_nothing() {
+    let upstream = Upstream::start(|_| ok("served"));
+    let sidecar = Sidecar::with(&[&upstream], with_door);
+    let id = upstream.line("Ready")["id"].as_str().expect("an id").to_owned();
+    for call in ["disable", "enable"] {
+        for (query, status) in [
+            (String::new(), 400),
+            ("?".into(), 400),
+            ("?name".into(), 400),
+            ("?name=".into(), 400),
+            (format!("?id={id}"), 400),
+            (format!("?name={id}&name={id}"), 400),
+            (format!("?name={id}%2"), 400),
+            (format!("?name={id}%zz"), 400),
+            ("?name=%ff%fe".into(), 400),
+            ("?name=s-nobody".into(), 404),
+            (format!("?name={id}%20"), 404),
+        ] {
+            assert_eq!(sidecar.operate(&format!("PUT /upstreams/{call}{query}")).0, status, "{call}{query}");
+        }
+        assert_eq!(sidecar.operate(&format!("GET /upstreams/{call}?name={id}")).0, 405);
+    }
+    assert_eq!(sidecar.figure("hosts_down"), 0);
+    let escaped = id.replacen('s', "%73", 1);
+    assert_eq!(sidecar.operate(&format!("PUT /upstreams/disable?x=1&name={escaped}")).0, 200);
+    assert_eq!(sidecar.figure("hosts_down"), 1);
+}
+
+#[test]
+fn bans_cross_over_an_upgrade_and_so_do_those_made_while_both_run() {
+    let all = [(); 3].map(|()| Upstream::start(|_| ok("served")));
+    let socket = listener();
+    let old = Sidecar::inheriting(&socket, &[&all[0], &all[1], &all[2]], with_door);
+    let ids = all.each_ref().map(|upstream| upstream.line("Ready")["id"].as_str().expect("an id").to_owned());
+    let out = |sidecar: &Sidecar, at: usize| {
+        assert_eq!(sidecar.operate(&format!("PUT /upstreams/disable?name={}", ids[at])).0, 200);
+    };
+    out(&old, 0);
+    let new = old.successor(&socket);
+    assert_eq!(new.figure("hosts_down"), 1, "from its start");
+    out(&old, 1);
+    new.wait_until("the ban made at the old one", |new| new.figure("hosts_down") == 2);
+    out(&new, 2);
+    old.wait_until("the ban made at the new one", |old| old.figure("hosts_down") == 3);
+    assert_eq!(new.operate(&format!("PUT /upstreams/enable?name={}", ids[0])).0, 200);
+    old.wait_until("the return", |old| old.figure("hosts_down") == 2);
+    drop(old);
+    assert_eq!(new.figure("hosts_down"), 2);
+}
+
+#[test]
+fn a_damaged_state_file_is_left_aside_and_one_that_cannot_be_written_is_a_no() {
+    let upstream = Upstream::start(|_| ok("served"));
+    let id = upstream.line("Ready")["id"].as_str().expect("an id").to_owned();
+    for text in ["", "{\"disabled\":[\"s-", "{\"disabled\":[1]}", "[]", "\u{0}\u{1}"] {
+        let sidecar = Sidecar::after(&[&upstream], with_door, |tmp| {
+            std::fs::write(tmp.join("bans-n0.json"), text).expect("written");
+        });
+        assert_eq!(sidecar.figure("hosts_down"), 0, "{text:?}");
+        assert_eq!(sidecar.operate(&format!("PUT /upstreams/disable?name={id}")).0, 200, "{text:?}");
+        assert_eq!(sidecar.figure("hosts_down"), 1);
+    }
+    let sidecar = Sidecar::after(&[&upstream], with_door, |tmp| {
+        // A folder in the file's place can't be replaced, whoever asks.
+        std::fs::create_dir_all(tmp.join("bans-n0.json/in the way")).expect("made");
+    });
+    let (status, text) = sidecar.operate(&format!("PUT /upstreams/disable?name={id}"));
+    assert!(status == 500 && text.contains("not changed"), "{status} {text}");
+    assert_eq!(sidecar.figure("hosts_down"), 0);
+    assert_eq!(sidecar.ask(&call("pay", 5.0)).status, 200);
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -149,7 +149,7 @@
                     _ => Availability::Ready,
                 };
                 self.states.insert(server, availability);
-                let started = (x % 5 == 0).then(|| ms(self.rig.now));
+                let started = x.is_multiple_of(5).then(|| ms(self.rig.now));
                 let base = line(server);
                 let line = Listed { availability, cell: cell(server), zone: cell(server), started, ..base };
                 let said = self.rig.tell(Event::List(ListNews::Delta(vec![line])));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -421,6 +421,15 @@
         Sidecar::launch(INHERIT, stdin_of(listener), upstreams, change)
     }
 
+    /// Starts one that finds its `$TMPDIR` prepared.
+    pub fn after(
+        upstreams: &[&Upstream], change: impl FnOnce(&mut Value), prepare: impl FnOnce(&Path),
+    ) -> Sidecar {
+        let dir = Dir::new();
+        prepare(&dir.0.join("tmp"));
+        Sidecar::launch_in(dir, ":", Stdio::null(), upstreams, change)
+    }
+
     /// A new version beside this one, as at an upgrade.
     pub fn successor(&self, listener: &TcpListener) -> Sidecar {
         let (discovery, dir) = (self.discovery.clone(), self.dir.clone());
@@ -460,13 +469,19 @@
     /// Starts one that is ready and has asked discovery, which knows these upstreams.
     fn launch(
         shell: &str, stdin: Stdio, upstreams: &[&Upstream], change: impl FnOnce(&mut Value),
+    ) -> Sidecar {
+        Sidecar::launch_in(Dir::new(), shell, stdin, upstreams, change)
+    }
+
+    fn launch_in(
+        dir: Dir, shell: &str, stdin: Stdio, upstreams: &[&Upstream], change: impl FnOnce(&mut Value),
     ) -> Sidecar {
         let members: Vec<Value> = upstreams.iter().map(|upstream| upstream.line("Ready")).collect();
         let known = json!({"revision": 1, "complete": true, "members": members});
         let discovery = Arc::new(Discovery::start(&known));
         let mut config = Sidecar::config(&known, &discovery.addr.to_string());
         change(&mut config);
-        Sidecar::spawn(shell, stdin, discovery, config, Arc::new(Dir::new()))
+        Sidecar::spawn(shell, stdin, discovery, config, Arc::new(dir))
     }
 
     fn spawn(shell: &str, stdin: Stdio, discovery: Arc<Discovery>, config: Value, dir: Arc<Dir>) -> Sidecar {
