--- a/src/api.rs
+++ b/src/api.rs
@@ -322,6 +322,21 @@
         /// The time since it was sent.
         took: Duration,
     },
+    /// More of the request's body goes out with this attempt than is held. It can't be sent again, and until
+    /// all of it has gone its server does nothing for it and its client's time does not run.
+    Uploading {
+        /// The request.
+        id: RequestId,
+        /// The attempt that takes its body.
+        attempt: usize,
+    },
+    /// The last byte of that body has gone out.
+    Uploaded {
+        /// The request.
+        id: RequestId,
+        /// The attempt that took its body.
+        attempt: usize,
+    },
     /// A timer fell due.
     Timer(TimerId),
     /// The list changed, or could not be had.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -109,6 +109,8 @@
             }
             Event::Probed { server, outcome, held } => self.probed(server, outcome, held, out),
             Event::StreamStarted { id, attempt, took } => self.stream(id, attempt, ms(took), out),
+            Event::Uploading { id, attempt } => self.uploading(id, attempt),
+            Event::Uploaded { id, attempt } => self.uploaded(id, attempt, out),
             Event::Timer(ASK_TIMER) => out.push(Action::Subscribe),
             Event::Timer(PULSE_TIMER) => self.pulse_set = false,
             Event::Timer(TimerId(mark)) => self.review(RequestId(mark as u32), out),
@@ -410,7 +412,7 @@
     fn allowed(&self, request: &Request) -> Option<Option<u16>> {
         let spent = request.attempts.len() >= self.settings.max_attempts;
         let over = matches!(request.phase, Phase::Ended | Phase::Streaming) || self.now >= request.ends;
-        if spent || over || request.out() > 0 {
+        if spent || over || request.spent || request.out() > 0 {
             return None;
         }
         let soon = self.now + ms(self.settings.tick);
@@ -550,7 +552,8 @@
         let (attempt, job, phase) = (*attempt, request.job, request.phase);
         self.land(attempt.server, (id, no));
         match outcome {
-            Outcome::Ok if phase == Phase::Streaming => {}
+            // Its sample came at the start; who leaves in the midst of an answer says nothing of its server.
+            Outcome::Ok | Outcome::Cancelled if phase == Phase::Streaming => {}
             Outcome::Ok => self.answered(&attempt, &job, took, out),
             _ => self.unanswered(&attempt, &job, outcome, took, out),
         }
--- /dev/null
+++ b/src/bin/juniperspoke/bodies.rs
@@ -0,0 +1,407 @@
+//! Bodies on their way through, in both directions: what is small is held whole, the rest passed on as it comes.
+
+use crate::budget::Share;
+use crate::metrics::{Ending, Ticket};
+use crate::peer::{Limit, STALL};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::HeaderValue;
+use micapier::api::Outcome;
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+
+/// A body of up to this size is held, so that it can be sent, or had, again.
+pub const HELD: usize = 64 * 1024;
+/// The longest body that goes through.
+pub const LONGEST: u64 = 32 * 1024 * 1024;
+/// Bytes a second that a client's body has to come at: half of what the slowest legal client sends.
+const RATE: f64 = 32_000.0;
+/// What has come fast pays for a pause of this length at most.
+const PAUSE: Duration = Duration::from_secs(2);
+/// An answer of unknown length is held for so long at most: that of one over [`HELD`] is timed by its first bytes.
+const UNKNOWN: Duration = Duration::from_millis(100);
+
+/// What is wrong with a client's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BodyError {
+    #[error("a body that does not end")]
+    Slow,
+    #[error("a broken body")]
+    Broken,
+    #[error("a too long body")]
+    TooLong,
+}
+
+/// A client's body as it comes, which has to be fast enough and short enough.
+pub struct Intake {
+    body: Incoming,
+    /// Bytes that may still come.
+    room: u64,
+    /// How long the client may let us wait, and when it began to.
+    patience: Duration,
+    waits_since: Option<Instant>,
+    limit: Limit,
+}
+
+impl Intake {
+    /// The first byte has to come within this time.
+    pub fn new(body: Incoming, patience: Duration) -> Intake {
+        Intake { body, room: LONGEST, patience, waits_since: None, limit: Limit::default() }
+    }
+
+    /// What is left, if the client has said.
+    fn left(&self) -> Option<u64> {
+        self.body.size_hint().exact()
+    }
+
+    fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        loop {
+            let frame = match Pin::new(&mut self.body).poll_frame(context) {
+                Poll::Ready(Some(Ok(frame))) => frame,
+                Poll::Ready(Some(Err(_))) => return Poll::Ready(Some(Err(BodyError::Broken))),
+                Poll::Ready(None) => return Poll::Ready(None),
+                Poll::Pending => {
+                    let (patience, now) = (self.patience, Instant::now());
+                    self.waits_since.get_or_insert(now);
+                    ready!(self.limit.poll(|| now + patience, context));
+                    return Poll::Ready(Some(Err(BodyError::Slow)));
+                }
+            };
+            // Only the time that we wait for the client is the client's.
+            let waited = self.waits_since.take().map_or(Duration::ZERO, |since| since.elapsed());
+            self.limit.over();
+            // Trailers say nothing that goes on to an upstream.
+            let Ok(data) = frame.into_data() else { continue };
+            let Some(room) = self.room.checked_sub(data.len() as u64) else {
+                return Poll::Ready(Some(Err(BodyError::TooLong)));
+            };
+            self.room = room;
+            let earned = Duration::from_secs_f64(data.len() as f64 / RATE);
+            self.patience = (self.patience.saturating_sub(waited) + earned).min(PAUSE.max(self.patience));
+            return Poll::Ready(Some(Ok(data)));
+        }
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
+        poll_fn(|context| self.poll_chunk(context)).await
+    }
+
+    /// Reads what is small to its end; `hold` gives room for it.
+    pub async fn read(mut self, hold: impl Fn(usize) -> Option<Share>) -> Result<RequestBody, BodyError> {
+        let left = self.left();
+        if left.is_some_and(|left| left > LONGEST) {
+            return Err(BodyError::TooLong);
+        }
+        let size = left.map_or(HELD, |left| left as usize);
+        let share = if size <= HELD { hold(size) } else { None };
+        let mut first = VecDeque::new();
+        if let Some(share) = share {
+            let mut held = 0;
+            while held <= HELD {
+                let Some(chunk) = self.next().await.transpose()? else {
+                    return Ok(RequestBody::Held(share.hold(joined(first))));
+                };
+                held += chunk.len();
+                first.push_back(chunk);
+            }
+            let flow = Flow { first, intake: self, ended: false, _share: Some(share) };
+            return Ok(RequestBody::Open(Upload::new(flow)));
+        }
+        Ok(RequestBody::Open(Upload::new(Flow { first, intake: self, ended: false, _share: None })))
+    }
+}
+
+/// Held pieces as one; one alone is not copied.
+fn joined(mut pieces: VecDeque<Bytes>) -> Bytes {
+    match pieces.len() {
+        0 | 1 => pieces.pop_front().unwrap_or_default(),
+        _ => pieces.iter().flat_map(|piece| piece.iter().copied()).collect::<Vec<u8>>().into(),
+    }
+}
+
+/// A request's body: held whole, or on its way.
+#[derive(Clone)]
+pub enum RequestBody {
+    Held(Bytes),
+    Open(Arc<Upload>),
+}
+
+/// How much of an open body has gone out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sent {
+    Nothing,
+    Begun,
+    Whole,
+    /// The client has not kept to its part.
+    Broken(BodyError),
+}
+
+struct Flow {
+    first: VecDeque<Bytes>,
+    intake: Intake,
+    ended: bool,
+    _share: Option<Share>,
+}
+
+impl Flow {
+    fn left(&self) -> Option<u64> {
+        let first: usize = self.first.iter().map(Bytes::len).sum();
+        self.intake.left().map(|left| left + first as u64)
+    }
+
+    fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        match self.first.pop_front() {
+            Some(chunk) => Poll::Ready(Some(Ok(chunk))),
+            None => self.intake.poll_chunk(context),
+        }
+    }
+}
+
+/// A body that is passed on as it comes: to one attempt, and to another only while nothing has gone out.
+pub struct Upload {
+    flow: Mutex<Flow>,
+    sent: watch::Sender<Sent>,
+}
+
+impl Upload {
+    fn new(flow: Flow) -> Arc<Upload> {
+        Arc::new(Upload { flow: Mutex::new(flow), sent: watch::Sender::new(Sent::Nothing) })
+    }
+
+    fn flow(&self) -> MutexGuard<'_, Flow> {
+        self.flow.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn sent(&self) -> watch::Receiver<Sent> {
+        self.sent.subscribe()
+    }
+
+    /// What the client has done wrong, if it has.
+    pub fn fault(&self) -> Option<BodyError> {
+        match *self.sent.borrow() {
+            Sent::Broken(error) => Some(error),
+            _ => None,
+        }
+    }
+
+    /// Reads and drops what is left, as long as it comes: an answer that is written while a client still sends
+    /// would be lost with the connection.
+    pub async fn drain(self: Arc<Self>) {
+        while let Some(Ok(_)) = poll_fn(|context| self.flow().poll_chunk(context)).await {}
+    }
+
+    fn is_over(&self) -> bool {
+        let flow = self.flow();
+        flow.ended || flow.left() == Some(0)
+    }
+
+    fn poll_chunk(&self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
+        let mut flow = self.flow();
+        let chunk = ready!(flow.poll_chunk(context));
+        flow.ended = chunk.is_none();
+        let sent = match &chunk {
+            Some(Err(error)) => Sent::Broken(*error),
+            Some(Ok(_)) if flow.left() != Some(0) => Sent::Begun,
+            _ => Sent::Whole,
+        };
+        drop(flow);
+        self.sent.send_if_modified(|before| std::mem::replace(before, sent) != sent);
+        Poll::Ready(chunk)
+    }
+}
+
+/// The body of an attempt. An attempt counts once the connection has taken over all of it: the HTTP library takes
+/// the body out of a request when it writes its head, and lets go of it after the last byte.
+pub struct Outgoing {
+    body: RequestBody,
+    /// Called then, once.
+    whole: Option<Box<dyn FnOnce() + Send>>,
+}
+
+impl Outgoing {
+    pub fn new(body: RequestBody, whole: impl FnOnce() + Send + 'static) -> Outgoing {
+        Outgoing { body, whole: Some(Box::new(whole)) }
+    }
+
+    pub fn empty() -> Outgoing {
+        Outgoing { body: RequestBody::Held(Bytes::new()), whole: None }
+    }
+
+    /// It has not been written after all.
+    pub fn forget(mut self) {
+        self.whole = None;
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let chunk = match &mut self.body {
+            RequestBody::Held(bytes) if bytes.is_empty() => None,
+            RequestBody::Held(bytes) => Some(Ok(std::mem::take(bytes))),
+            RequestBody::Open(upload) => ready!(upload.poll_chunk(context)),
+        };
+        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.body {
+            RequestBody::Held(bytes) => bytes.is_empty(),
+            RequestBody::Open(upload) => upload.is_over(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.body {
+            RequestBody::Held(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            RequestBody::Open(upload) => {
+                upload.flow().left().map_or_else(SizeHint::default, SizeHint::with_exact)
+            }
+        }
+    }
+}
+
+impl Drop for Outgoing {
+    fn drop(&mut self) {
+        if self.is_end_stream() {
+            self.whole.take().into_iter().for_each(|whole| whole());
+        }
+    }
+}
+
+/// An upstream's answer, read as far as it is held.
+pub enum Had {
+    Whole(Bytes),
+    /// More than is held, or than there is room for.
+    More(VecDeque<Bytes>, Incoming, Option<Share>),
+}
+
+/// Reads an answer that is small to its end; `None` if it breaks. `hold` gives room for it.
+pub async fn read_answer(mut body: Incoming, hold: impl Fn(usize) -> Option<Share>) -> Option<Had> {
+    let left = body.size_hint().exact();
+    let size = left.map_or(HELD, |left| usize::try_from(left).unwrap_or(usize::MAX));
+    let (mut first, mut held, until) = (VecDeque::new(), 0, Instant::now() + UNKNOWN);
+    let Some(share) = (if size <= HELD { hold(size) } else { None }) else {
+        return Some(Had::More(first, body, None));
+    };
+    while held <= HELD {
+        let next = poll_fn(|context| Pin::new(&mut body).poll_frame(context));
+        let frame = match left {
+            Some(_) => next.await,
+            None => match timeout_at(until, next).await {
+                Ok(frame) => frame,
+                Err(_) => break,
+            },
+        };
+        let Some(frame) = frame else { return Some(Had::Whole(share.hold(joined(first)))) };
+        if let Ok(data) = frame.ok()?.into_data() {
+            held += data.len();
+            first.push_back(data);
+        }
+    }
+    Some(Had::More(first, body, Some(share)))
+}
+
+/// An answer that was cut, by its upstream or for its silence.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer ended before its end")]
+pub struct Cut;
+
+/// A long answer on its way to its client.
+pub struct Passing {
+    first: VecDeque<Bytes>,
+    body: Incoming,
+    _share: Option<Share>,
+    silence: Limit,
+    pub content_type: Option<HeaderValue>,
+    /// Told once how it ended.
+    ended: Option<Box<dyn FnOnce(Outcome) + Send>>,
+    /// The request's, from when the answer is taken over by its client's connection.
+    pub ticket: Option<Ticket>,
+}
+
+impl Passing {
+    pub fn new(
+        first: VecDeque<Bytes>, body: Incoming, share: Option<Share>, content_type: Option<HeaderValue>,
+        ended: impl FnOnce(Outcome) + Send + 'static,
+    ) -> Passing {
+        let (silence, ended) = (Limit::default(), Some(Box::new(ended) as Box<_>));
+        Passing { first, body, _share: share, silence, content_type, ended, ticket: None }
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        let ending = if outcome == Outcome::Ok { Ending::Success } else { Ending::Failure };
+        self.ticket.take().into_iter().for_each(|ticket| ticket.end(ending));
+        self.ended.take().into_iter().for_each(|ended| ended(outcome));
+    }
+}
+
+impl Body for Passing {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let this = &mut *self;
+        loop {
+            let frame = match this.first.pop_front() {
+                Some(bytes) => Some(Ok(Frame::data(bytes))),
+                None => match Pin::new(&mut this.body).poll_frame(context) {
+                    Poll::Ready(frame) => frame,
+                    Poll::Pending => {
+                        ready!(this.silence.poll(|| Instant::now() + STALL, context));
+                        this.end(Outcome::Reset);
+                        return Poll::Ready(Some(Err(Cut)));
+                    }
+                },
+            };
+            this.silence.over();
+            match frame {
+                Some(Ok(frame)) if frame.is_data() => {
+                    // With its length known, nobody asks for what comes after the last byte.
+                    if this.is_end_stream() {
+                        this.end(Outcome::Ok);
+                    }
+                    return Poll::Ready(Some(Ok(frame)));
+                }
+                Some(Ok(_)) => {}
+                Some(Err(_)) => {
+                    this.end(Outcome::Reset);
+                    return Poll::Ready(Some(Err(Cut)));
+                }
+                None => {
+                    this.end(Outcome::Ok);
+                    return Poll::Ready(None);
+                }
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_empty() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first: usize = self.first.iter().map(Bytes::len).sum();
+        let left = self.body.size_hint().exact().map(|left| left + first as u64);
+        left.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
+impl Drop for Passing {
+    /// The client has left.
+    fn drop(&mut self) {
+        self.end(Outcome::Cancelled);
+    }
+}
--- a/src/bin/juniperspoke/config.rs
+++ b/src/bin/juniperspoke/config.rs
@@ -6,8 +6,9 @@
 use std::net::SocketAddr;
 use std::{env, fs, io};
 
-/// The most descriptors where the configuration names no limit.
+/// The most descriptors, and megabytes of memory, where the configuration names no limit.
 const SOCKETS: usize = 1_024;
+const MEMORY_MB: f64 = 32.0;
 
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -32,6 +33,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that it may hold.
+    pub memory: usize,
     /// The list as this sidecar last had it, in discovery's form.
     pub known: Value,
     pub settings: Settings,
@@ -67,6 +70,7 @@
             },
             seed,
             sockets: json["limits"]["sockets"].as_u64().map_or(SOCKETS, |n| n as usize),
+            memory: (json["limits"]["memory_mb"].as_f64().unwrap_or(MEMORY_MB) * 1e6) as usize,
             known: json["known"].clone(),
             settings: settings::parse(&flat)?,
             surroundings: settings::surroundings(&flat)?,
--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::config::{Config, flat_name};
 use crate::driver::{Handle, Happening};
-use crate::upstream::{MAX_BODY, TcpConnection};
+use crate::upstream::TcpConnection;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
@@ -30,7 +30,7 @@
 /// as told some seconds after the move, sooner than the module would ask again.
 const MOVED_AGAIN: Duration = Duration::from_millis(250);
 /// A list is larger than a request's body: some hundred bytes for each upstream.
-const MAX_LIST: usize = 64 * MAX_BODY;
+const MAX_LIST: usize = 4 * 1024 * 1024;
 
 #[derive(Debug, thiserror::Error)]
 pub enum DiscoveryError {
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -2,11 +2,10 @@
 //! the one place that knows who is still owed an answer.
 
 use crate::bans::Names;
+use crate::bodies::Passing;
 use crate::config::Config;
 use crate::discovery::{News, server_id};
-use crate::upstream::{Outbound, Served, Target, Upstreams};
-use bytes::Bytes;
-use hyper::header::HeaderValue;
+use crate::upstream::{Outbound, Served, Step, Target, Upstreams};
 use micapier::Balancer;
 use micapier::api::*;
 use std::cmp::Reverse;
@@ -26,9 +25,10 @@
 const LOG_AGAIN: Duration = Duration::from_secs(10);
 
 /// The final answer to a client.
-#[derive(Debug)]
 pub enum Answer {
-    Served(Bytes, Option<HeaderValue>),
+    Served(Served),
+    /// A long one, as it comes.
+    Passing(Box<Passing>),
     Refused(Option<Duration>),
     Failed,
 }
@@ -47,7 +47,7 @@
 pub enum Happening {
     Request(RequestId, Box<Inbound>, oneshot::Sender<Answer>),
     HungUp(RequestId),
-    Attempt(RequestId, usize, Outcome, Served),
+    Attempt(RequestId, usize, Step),
     Probed(ServerId, Outcome, Option<f64>),
     List(News),
     ListFailed,
@@ -124,6 +124,10 @@
 
 struct Owed {
     outbound: Arc<Outbound>,
+    /// How long the client waits from its last byte on, and until when it is answered; `None` while that byte is
+    /// still to come.
+    budget: Duration,
+    answer_by: Option<Instant>,
     /// Gone once the client has its answer or has left.
     answer: Option<oneshot::Sender<Answer>>,
     /// When each was sent, and how to stop it while it is out.
@@ -214,7 +218,9 @@
 
     /// Guards against a request that the module has lost sight of: its client is told that it failed.
     fn backstop(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|owed| owed.answer.is_some()) {
+        let over =
+            |owed: &Owed| owed.answer.is_some() && owed.answer_by.is_some_and(|by| by <= Instant::now());
+        if self.requests.get(&id).is_some_and(over) {
             eprintln!("a request was left without an answer");
             self.answer(id, Answer::Failed);
             self.handle_event(Event::HungUp(id));
@@ -232,9 +238,7 @@
                     self.forget(id);
                 }
             }
-            Happening::Attempt(id, attempt, outcome, served) => {
-                self.attempt_ended(id, attempt, outcome, served)
-            }
+            Happening::Attempt(id, attempt, step) => self.step(id, attempt, step),
             Happening::Probed(server, outcome, held) => {
                 self.handle_event(Event::Probed { server, outcome, held });
             }
@@ -259,14 +263,40 @@
     fn accept(&mut self, id: RequestId, inbound: Inbound, answer: oneshot::Sender<Answer>) {
         let ends = inbound.since + inbound.budget;
         let now = Instant::now();
-        let outbound = Arc::new(inbound.outbound);
-        self.requests.insert(id, Owed { outbound, answer: Some(answer), attempts: Vec::new() });
-        self.timers.push(Reverse((ends.checked_sub(ANSWER_MARGIN).unwrap_or(now), Due::Backstop(id))));
+        let (outbound, budget) = (Arc::new(inbound.outbound), inbound.budget);
+        let by = ends.checked_sub(ANSWER_MARGIN).unwrap_or(now);
+        let (answer, answer_by, attempts) = (Some(answer), Some(by), Vec::new());
+        self.requests.insert(id, Owed { outbound, budget, answer_by, answer, attempts });
+        self.timers.push(Reverse((by, Due::Backstop(id))));
         let patience = ends.saturating_duration_since(now).saturating_sub(2 * ANSWER_MARGIN);
         let Inbound { class, cost, origin, .. } = inbound;
         self.handle_event(Event::Request(Arrival { id, class, cost, patience, origin }));
     }
 
+    fn step(&mut self, id: RequestId, attempt: usize, step: Step) {
+        let Some(owed) = self.requests.get_mut(&id) else { return };
+        let Some((sent, Some(_))) = owed.attempts.get_mut(attempt) else { return };
+        match step {
+            Step::Uploading => {
+                owed.answer_by = None;
+                self.handle_event(Event::Uploading { id, attempt });
+            }
+            Step::Uploaded => {
+                *sent = Instant::now();
+                let by = *sent + owed.budget.saturating_sub(ANSWER_MARGIN);
+                owed.answer_by = Some(by);
+                self.timers.push(Reverse((by, Due::Backstop(id))));
+                self.handle_event(Event::Uploaded { id, attempt });
+            }
+            Step::Started(passing) => {
+                let took = sent.elapsed();
+                self.answer(id, Answer::Passing(passing));
+                self.handle_event(Event::StreamStarted { id, attempt, took });
+            }
+            Step::Ended(outcome, served) => self.attempt_ended(id, attempt, outcome, served),
+        }
+    }
+
     fn attempt_ended(&mut self, id: RequestId, attempt: usize, outcome: Outcome, served: Served) {
         let Some(owed) = self.requests.get_mut(&id) else { return };
         let Some((sent, out)) = owed.attempts.get_mut(attempt) else { return };
@@ -276,7 +306,7 @@
         }
         let took = sent.elapsed();
         if outcome == Outcome::Ok {
-            self.answer(id, Answer::Served(served.0, served.1));
+            self.answer(id, Answer::Served(served));
         }
         let owed = self.requests.get(&id).is_some_and(|owed| owed.answer.is_some());
         let progress = if owed { Progress::Owed } else { Progress::Ended };
@@ -377,8 +407,8 @@
             return Some(Event::Outcome { id, attempt, outcome, took, progress });
         };
         let handle = self.handle.clone();
-        let answered = move |outcome, served| handle.tell(Happening::Attempt(id, attempt, outcome, served));
-        let task = self.upstreams.clone().attempt(target, owed.outbound.clone(), now + timeout, answered);
+        let report = Arc::new(move |step| handle.tell(Happening::Attempt(id, attempt, step)));
+        let task = self.upstreams.clone().attempt(target, owed.outbound.clone(), timeout, report);
         owed.attempts.push((now, Some(tokio::spawn(task).abort_handle())));
         None
     }
@@ -440,13 +470,16 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::bodies::RequestBody;
+    use crate::budget::Budget;
     use crate::metrics::Metrics;
+    use bytes::Bytes;
     use hyper::{HeaderMap, Method, Uri};
 
     #[tokio::test]
     async fn a_request_that_the_module_is_silent_about_is_answered_in_time() {
         let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
-        let upstreams = Upstreams::new(1, Duration::ZERO, Duration::ZERO, Metrics::new(&[]));
+        let upstreams = Upstreams::new(1, Duration::ZERO, Duration::ZERO, Metrics::new(&[]), Budget::new(0));
         let (mut driver, handle) = Driver::new(config, upstreams, Arc::new(Notify::new()));
         // The module holds a request of the same id, and ignores another.
         let (id, patience) = (RequestId(0), Duration::from_secs(3_600));
@@ -457,7 +490,7 @@
             method: Method::POST,
             uri: Uri::from_static("/api"),
             headers: HeaderMap::new(),
-            body: Bytes::new(),
+            body: RequestBody::Held(Bytes::new()),
         };
         let (since, budget) = (Instant::now(), Duration::from_millis(200));
         let inbound = Inbound { outbound, class: 0, cost: None, origin: Origin::Fresh, budget, since };
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -3,18 +3,23 @@
 #![deny(unsafe_code)]
 
 mod bans;
+mod bodies;
+mod budget;
 mod config;
 mod control;
 mod discovery;
 mod driver;
+mod framing;
 mod idle;
 mod life;
 mod listener;
 mod metrics;
+mod peer;
 mod server;
 mod upstream;
 
 use bans::Bans;
+use budget::Budget;
 use config::{Config, ConfigError};
 use control::Control;
 use driver::Driver;
@@ -30,10 +35,13 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
-use upstream::Upstreams;
+use upstream::{BUFFER, Upstreams};
 
 /// Descriptors for all that is no connection of the application or to upstreams: the listener, discovery, logs.
 const RESERVED: usize = 16;
+/// What the buffers of a connection in full use take: what is read ahead, what waits to be written, and a piece
+/// in between.
+const BUFFERS: usize = 3 * BUFFER;
 /// After SIGTERM newcomers come for so long at least, and none for so long means that they have stopped.
 const NEWCOMERS: Duration = Duration::from_millis(500);
 const QUIET: Duration = Duration::from_millis(250);
@@ -82,10 +90,13 @@
     };
     let places = if control.is_some() { control::PLACES } else { 0 };
     let connections = (config.sockets / parts).saturating_sub(RESERVED + places);
+    let memory = config.memory / parts;
+    let connections = connections.min(memory / 2 / BUFFERS);
+    let budget = Budget::new(memory / 4);
     let (clients, upstreams) = (connections / 2, connections - connections / 2);
     let settings = (config.settings.keep_alive, config.surroundings.connect_timeout);
     let metrics = Metrics::new(&config.surroundings.classes);
-    let upstreams = Upstreams::new(upstreams.max(1), settings.0, settings.1, metrics.clone());
+    let upstreams = Upstreams::new(upstreams.max(1), settings.0, settings.1, metrics.clone(), budget.clone());
     let subscribe = Arc::new(Notify::new());
     let (driver, handle) = Driver::new(config.clone(), upstreams, subscribe.clone());
     let known = match discovery::read(&config.known, &config.surroundings) {
@@ -98,7 +109,8 @@
     let revision = known.as_ref().map(|known| known.revision);
     let bans = Bans::open(&config.name);
     let life = Arc::new(Life::new());
-    let server = Server::new(config.clone(), handle.clone(), life.clone(), metrics.clone(), clients.max(1));
+    let server =
+        Server::new(config.clone(), handle.clone(), life.clone(), metrics.clone(), budget, clients.max(1));
     if let Some(listener) = control {
         eprintln!("{}: control on {}", config.name, listener.local_addr()?);
         tokio::spawn(Control::new(life.clone(), metrics, handle.clone(), bans.clone()).listen(listener));
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -3,26 +3,30 @@
 //! Anyone may connect. What is no proper request of the application's goes no further: an upstream would
 //! answer it with an error, and the module would book that as the upstream's own.
 
+use crate::bodies::{BodyError, Cut, Intake, Passing, RequestBody};
+use crate::budget::Budget;
 use crate::config::{Config, flat_name};
 use crate::driver::{Answer, Handle, Inbound};
 use crate::life::{Life, Stage};
-use crate::metrics::{Ending, Metrics};
-use crate::upstream::{MAX_BODY, Outbound};
+use crate::metrics::{Ending, Metrics, Ticket};
+use crate::peer::{HEAD_PATIENCE, Peer};
+use crate::upstream::{BUFFER, Outbound};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use micapier::api::{Origin, Repeat};
 use std::collections::HashSet;
 use std::convert::Infallible;
 use std::hash::{BuildHasher, RandomState};
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
@@ -41,19 +45,13 @@
     "upgrade",
     "x-budget",
 ];
-/// The most that is read ahead on a connection, and so the longest head of a request: some times that of the
-/// longest the application sends, and little enough that a peer on every connection cannot fill the memory.
-const MAX_HEAD: usize = 16 * 1024;
 /// So many request ids are remembered at least. A copy comes while its original is out or soon after.
 const REMEMBERED: usize = 8_192;
 /// The wait after an accept that failed, as when there are no descriptors left.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 /// Where there is no room, connections are asked again after this time to give way.
 const GIVE_WAY: Duration = Duration::from_secs(1);
-/// A connection is closed when no head of a request has come for so long, and a request is answered as failed
-/// when its body takes so long after that. Whoever connects is owed an error or a close within 3 s in all,
-/// and a connection without a request is not to be closed before 2 s.
-const HEAD_PATIENCE: Duration = Duration::from_millis(2_100);
+/// The first byte of a body has to come this soon after its head, or while a newcomer may still be kept waiting.
 const BODY_PATIENCE: Duration = Duration::from_millis(600);
 
 /// The answer to what is no proper request.
@@ -94,11 +92,13 @@
     /// All that are open.
     open: AtomicUsize,
     accepted: watch::Sender<Instant>,
+    budget: Budget,
 }
 
 impl Server {
     pub fn new(
-        config: Arc<Config>, driver: Handle, life: Arc<Life>, metrics: Arc<Metrics>, most: usize,
+        config: Arc<Config>, driver: Handle, life: Arc<Life>, metrics: Arc<Metrics>, budget: Budget,
+        most: usize,
     ) -> Arc<Server> {
         Arc::new(Server {
             config,
@@ -111,6 +111,7 @@
             used: AtomicUsize::new(0),
             open: AtomicUsize::new(0),
             accepted: watch::Sender::new(Instant::now()),
+            budget,
         })
     }
 
@@ -166,18 +167,19 @@
     async fn serve(self: Arc<Self>, stream: TcpStream) {
         // Without it answers are merely slower.
         drop(stream.set_nodelay(true));
-        let used = AtomicBool::new(false);
+        let (used, since) = (AtomicBool::new(false), Instant::now());
+        let (peer, heads) = Peer::client(stream);
         let service = service_fn(|request| {
             if !used.swap(true, Ordering::Relaxed) {
                 self.used.fetch_add(1, Ordering::Relaxed);
             }
-            let server = self.clone();
-            async move { Ok::<_, Infallible>(server.answer(request).await) }
+            let (server, twofold) = (self.clone(), heads.next_is_twofold());
+            async move { Ok::<_, Infallible>(server.answer(request, twofold, since).await) }
         });
         let (mut close_idle, mut life, mut closed) = (self.close_idle.subscribe(), self.life.watch(), None);
         let mut http = http1::Builder::new();
-        http.max_buf_size(MAX_HEAD).timer(TokioTimer::new()).header_read_timeout(HEAD_PATIENCE);
-        let connection = http.serve_connection(TokioIo::new(stream), service);
+        http.max_buf_size(BUFFER).header_read_timeout(None);
+        let connection = http.serve_connection(TokioIo::new(peer), service);
         tokio::pin!(connection);
         loop {
             let due = life.borrow_and_update().close_idle.filter(|due| closed != Some(*due));
@@ -200,33 +202,55 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let since = Instant::now();
+    /// `connected` is when its connection came.
+    async fn answer(&self, request: Request<Incoming>, twofold: bool, connected: Instant) -> Response<Reply> {
         let mut response = match request.uri().path() {
             "/health/ready" => {
                 let ready = self.driver.is_ready() && self.life.stage() == Stage::Serving;
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
-            _ => match self.read(request, since).await {
-                Ok(inbound) => {
-                    let ticket = self.metrics.take(inbound.class);
-                    let answer = self.driver.ask(inbound).await;
-                    ticket.end(answer.ending());
-                    worded(answer)
-                }
+            _ => match self.read(request, twofold, connected).await {
+                Ok(inbound) => self.ask(inbound).await,
                 Err((status, why)) => plain(status, why),
             },
         };
-        if self.life.stage() != Stage::Serving {
+        if twofold || self.life.stage() != Stage::Serving {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
     }
 
+    /// A request that has been taken: it is in flight until its answer has ended.
+    async fn ask(&self, inbound: Inbound) -> Response<Reply> {
+        let ticket = self.metrics.take(inbound.class);
+        let upload = match &inbound.outbound.body {
+            RequestBody::Held(_) => None,
+            RequestBody::Open(upload) => Some(upload.clone()),
+        };
+        let answer = self.driver.ask(inbound).await;
+        let Some(upload) = upload else { return worded(answer, ticket) };
+        match upload.fault() {
+            Some(error) => {
+                let (status, why) = improper(error);
+                plain(status, why)
+            }
+            None => {
+                tokio::spawn(upload.drain());
+                worded(answer, ticket)
+            }
+        }
+    }
+
     /// Guards against requests that can't be read: they are answered as failed, and go nowhere.
-    async fn read(&self, request: Request<Incoming>, since: Instant) -> Result<Inbound, Improper> {
+    async fn read(
+        &self, request: Request<Incoming>, twofold: bool, connected: Instant,
+    ) -> Result<Inbound, Improper> {
         let (head, body) = request.into_parts();
         let bad = |why| (StatusCode::BAD_REQUEST, why);
+        // Guards against a second request hidden in the body of the first.
+        if twofold {
+            return Err(bad("both a length and chunked framing"));
+        }
         let class = text(&head.headers, "x-call-class").map(flat_name);
         let class = self.config.surroundings.classes.iter().position(|name| Some(name) == class.as_ref());
         let class = class.ok_or(bad("no such class"))?;
@@ -237,10 +261,12 @@
         let cost = cost.and_then(|us| Duration::try_from_secs_f64(us / 1e6).ok());
         let again = text(&head.headers, "x-again") == Some("1");
         let origin = if again { Origin::ClientRetry } else { Origin::Fresh };
-        let body = timeout(budget.min(BODY_PATIENCE), Limited::new(body, MAX_BODY).collect()).await;
-        let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "a body that does not end"))?;
-        let body = body.map_err(|_| (StatusCode::PAYLOAD_TOO_LARGE, "a broken or too long body"))?.to_bytes();
-        if repeat == Repeat::Safe && !body.is_empty() {
+        let patience = HEAD_PATIENCE.saturating_sub(connected.elapsed()).max(BODY_PATIENCE);
+        let body =
+            Intake::new(body, patience).read(|bytes| self.budget.take(bytes)).await.map_err(improper)?;
+        // A client's time runs from its last byte.
+        let since = Instant::now();
+        if repeat == Repeat::Safe && !matches!(&body, RequestBody::Held(bytes) if bytes.is_empty()) {
             return Err(bad("a body where the class has none"));
         }
         let id = head.headers.get("x-call-id").filter(|id| !id.is_empty()).ok_or(bad("no id"))?;
@@ -255,6 +281,15 @@
     }
 }
 
+/// What a client's body is answered that can't be read.
+fn improper(error: BodyError) -> Improper {
+    match error {
+        BodyError::Slow => (StatusCode::REQUEST_TIMEOUT, "a body that does not end"),
+        BodyError::Broken => (StatusCode::BAD_REQUEST, "a broken body"),
+        BodyError::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "a too long body"),
+    }
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
@@ -273,40 +308,69 @@
     if matches!(repeat, Repeat::Keyed { .. }) && !key {
         return Err((StatusCode::BAD_REQUEST, "no key"));
     }
-    // Guards against a second request hidden in the body of the first: where both framings are given, the
-    // length is gone by now, and with it the means to tell that they differ.
-    if head.headers.contains_key(TRANSFER_ENCODING) {
-        return Err((StatusCode::LENGTH_REQUIRED, "a body without a length"));
-    }
     Ok(())
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response
+/// The body of an answer to a client.
+enum Reply {
+    Whole(Bytes),
+    Passing(Box<Passing>),
 }
 
-impl Answer {
-    fn ending(&self) -> Ending {
+impl Body for Reply {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        match &mut *self {
+            Reply::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Reply::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Reply::Passing(passing) => Pin::new(passing).poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
         match self {
-            Answer::Served(..) => Ending::Success,
-            Answer::Refused(_) => Ending::Busy,
-            Answer::Failed => Ending::Failure,
+            Reply::Whole(bytes) => bytes.is_empty(),
+            Reply::Passing(passing) => passing.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Reply::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Reply::Passing(passing) => passing.size_hint(),
         }
     }
 }
 
-/// The final answer in HTTP.
-fn worded(answer: Answer) -> Response<Full<Bytes>> {
+fn plain(status: StatusCode, text: &'static str) -> Response<Reply> {
+    let mut response = Response::new(Reply::Whole(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+/// The final answer in HTTP; the request ends with it.
+fn worded(answer: Answer, ticket: Ticket) -> Response<Reply> {
     match answer {
-        Answer::Served(body, content_type) => {
-            let mut response = Response::new(Full::new(body));
+        Answer::Served(served) => {
+            ticket.end(Ending::Success);
+            let mut response = Response::new(Reply::Whole(served.body));
+            response.headers_mut().extend(served.content_type.map(|value| (CONTENT_TYPE, value)));
+            response
+        }
+        Answer::Passing(mut passing) => {
+            passing.ticket = Some(ticket);
+            let content_type = passing.content_type.take();
+            let mut response = Response::new(Reply::Passing(passing));
             response.headers_mut().extend(content_type.map(|value| (CONTENT_TYPE, value)));
             response
         }
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
         Answer::Refused(retry_after) => {
+            ticket.end(Ending::Busy);
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
             let text = retry_after.map(|after| format!("{:.3}", after.as_secs_f64()));
             let value = text.and_then(|text| HeaderValue::from_str(&text).ok());
--- a/src/state.rs
+++ b/src/state.rs
@@ -106,6 +106,8 @@
 pub enum Phase {
     Held,
     Looking,
+    /// Its body is on the way out.
+    Uploading,
     Sent,
     Streaming,
     Ended,
@@ -138,6 +140,8 @@
     pub hold_until: f64,
     pub attempts: Vec<Attempt>,
     pub phase: Phase,
+    /// Its body is no longer held.
+    pub spent: bool,
     /// Servers probed for it, and how often.
     pub candidates: Vec<(ServerId, Sight)>,
     pub looks: u32,
@@ -148,7 +152,8 @@
 impl Request {
     pub fn new(job: Job, ends: f64, hold_until: f64, lot: f64) -> Self {
         let (attempts, candidates) = (Vec::new(), Vec::new());
-        Request { job, ends, hold_until, attempts, phase: Phase::Held, candidates, looks: 0, lot }
+        let (phase, spent, looks) = (Phase::Held, false, 0);
+        Request { job, ends, hold_until, attempts, phase, spent, candidates, looks, lot }
     }
 
     pub fn out(&self) -> usize {
@@ -407,6 +412,37 @@
         }
     }
 
+    /// A body is on its way out: its server has nothing to do for it yet.
+    pub(crate) fn uploading(&mut self, id: RequestId, no: usize) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(attempt) = request.attempts.get(no).filter(|a| a.fate == Fate::Out) else { return };
+        let server = attempt.server;
+        request.spent = true;
+        if request.phase == Phase::Sent {
+            request.phase = Phase::Uploading;
+            self.land(server, (id, no));
+        }
+    }
+
+    /// The body has gone out: from now on the attempt is in flight, and the client's time runs.
+    pub(crate) fn uploaded(&mut self, id: RequestId, no: usize, out: &mut Vec<Action>) {
+        let now = self.now;
+        let Some(request) = self.requests.get_mut(&id).filter(|r| r.phase == Phase::Uploading) else {
+            return;
+        };
+        let Some(attempt) = request.attempts.get_mut(no).filter(|a| a.fate == Fate::Out) else { return };
+        request.phase = Phase::Sent;
+        request.job.aim_at += now - attempt.sent;
+        request.ends = now + attempt.timeout;
+        attempt.sent = now;
+        let (server, scale, aim) = (attempt.server, attempt.scale, request.job.aim);
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.flights.push(Flight { id, attempt: no, sent: now, scale });
+            self.flying += 1;
+        }
+        self.set_timer(id, aim, out);
+    }
+
     /// An attempt has ended at its server.
     pub(crate) fn land(&mut self, at: ServerId, flight: (RequestId, usize)) {
         let Some(server) = self.servers.get_mut(&at) else { return };
--- /dev/null
+++ b/tests/bodies.rs
@@ -0,0 +1,274 @@
+//! Large, slow and oddly framed bodies, both ways, on the real program.
+
+mod world;
+
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use world::*;
+
+fn ok(body: &str) -> Reply {
+    Reply::text(200, "", body)
+}
+
+/// Text that shows where something is missing or doubled.
+fn text(length: usize) -> String {
+    let mut text: String = (0..length / 8 + 1).map(|i| format!("{i:08x}")).collect();
+    text.truncate(length);
+    text
+}
+
+/// A head of `pay` without its framing.
+fn head() -> String {
+    let text = call("pay", 10.0).text();
+    text.split_once("Content-Length").expect("a length").0.to_owned()
+}
+
+fn send(sidecar: &Sidecar, text: &str) -> TcpStream {
+    let mut client = sidecar.connect();
+    drop(client.write_all(text.as_bytes()));
+    client
+}
+
+/// Whatever comes until the connection closes.
+fn all_of(mut client: TcpStream) -> String {
+    let mut said = Vec::new();
+    let end = client.read_to_end(&mut said).map_err(|error| error.kind());
+    assert!(!matches!(end, Err(std::io::ErrorKind::WouldBlock)), "still open");
+    String::from_utf8_lossy(&said).into_owned()
+}
+
+#[test]
+fn long_bodies_go_through_unchanged_in_bounded_memory_with_many_at_once() {
+    const LONG: usize = 3_000_000;
+    let upstream = Upstream::start(|seen| ok(&seen.body));
+    let sidecar = Sidecar::with(&[&upstream], |config| config["limits"]["memory_mb"] = json!(32));
+    let body = text(LONG);
+    std::thread::scope(|scope| {
+        for _ in 0..24 {
+            scope.spawn(|| {
+                let answer = sidecar.ask(&call("pay", 20.0).body(&body));
+                assert_eq!(answer.status, 200);
+                assert!(answer.body == body, "{} of {LONG} bytes", answer.body.len());
+            });
+        }
+    });
+    assert!(sidecar.peak_memory() < 32_000, "{} kB", sidecar.peak_memory());
+}
+
+#[test]
+fn every_form_of_a_request_is_served() {
+    let upstream = Upstream::start(|seen| ok(&seen.body));
+    let sidecar = Sidecar::start(&[&upstream]);
+    let long = text(100_000);
+    let chunked = |body: &str, size: usize, extension: &str, trailers: &str| {
+        let chunks = body.as_bytes().chunks(size).map(|chunk| std::str::from_utf8(chunk).expect("text"));
+        let chunks: String = chunks.map(|c| format!("{:X}{extension}\r\n{c}\r\n", c.len())).collect();
+        format!("{}Transfer-Encoding: chunked\r\n\r\n{chunks}0\r\n{trailers}\r\n", head())
+    };
+    for (what, request, body) in [
+        ("chunked", chunked("hello", 2, "", ""), "hello"),
+        ("with extensions and trailers", chunked("hello", 3, ";a=\"b\"", "X-Sum: 1\r\n"), "hello"),
+        ("long", chunked(&long, 7_000, "", ""), &long),
+        ("nothing", chunked("", 1, "", ""), ""),
+        ("a long one of known length", format!("{}Content-Length: 100000\r\n\r\n{long}", head()), &long),
+    ] {
+        let answer = Answer::read(&mut send(&sidecar, &request));
+        assert_eq!((answer.status, answer.body.as_str()), (200, body), "{what}");
+    }
+    // In small pieces, twice on one connection.
+    let mut client = sidecar.connect();
+    client.set_nodelay(true).expect("set");
+    for _ in 0..2 {
+        for piece in chunked("in pieces", 4, ";x", "X-Sum: 1\r\n").as_bytes().chunks(9) {
+            client.write_all(piece).expect("written");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        let answer = Answer::read(&mut client);
+        assert_eq!((answer.status, answer.body.as_str()), (200, "in pieces"));
+    }
+    // Who asks first whether to go on is told to.
+    let mut client = send(&sidecar, &format!("{}Expect: 100-continue\r\nContent-Length: 4\r\n\r\n", head()));
+    let interim = Answer::read(&mut client);
+    assert_eq!(interim.status, 100);
+    client.write_all(b"body").expect("written");
+    assert_eq!(Answer::read(&mut client).body, "body");
+}
+
+#[test]
+fn every_form_of_an_answer_is_passed_on() {
+    let long = text(100_000);
+    let chunked = |body: &str| format!("{:x};ext=1\r\n{body}\r\n0\r\nX-Sum: 1\r\n\r\n", body.len());
+    let of_length = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    for (what, raw, body) in [
+        ("chunked", format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunked("hi")), "hi"),
+        (
+            "long and chunked",
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunked(&long)),
+            &long,
+        ),
+        ("ended by the close", "HTTP/1.1 200 OK\r\n\r\nhi".into(), "hi"),
+        ("long and ended by the close", format!("HTTP/1.1 200 OK\r\n\r\n{long}"), &long),
+        (
+            "after others",
+            format!("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 102 X\r\n\r\n{}", of_length("hi")),
+            "hi",
+        ),
+        ("long", of_length(&long), &long),
+    ] {
+        let upstream = Upstream::start(move |_| Reply::Raw(raw.clone()));
+        let sidecar = Sidecar::start(&[&upstream]);
+        let answer = sidecar.ask(&call("pay", 10.0));
+        assert_eq!((answer.status, answer.body.as_str()), (200, body), "{what}");
+    }
+    // In small pieces, past the end of the request's time: what the upstream still gives is not cut off.
+    let whole = of_length(&long);
+    let upstream = Upstream::start(move |_| {
+        let pieces = whole.as_bytes().chunks(2_000).map(|p| String::from_utf8_lossy(p).into_owned());
+        Reply::Pieces(pieces.collect(), Duration::from_millis(20))
+    });
+    let sidecar = Sidecar::with(&[&upstream], with_door);
+    let answer = sidecar.ask(&call("pay", 0.3));
+    assert_eq!((answer.status, answer.body == long), (200, true));
+    sidecar.wait_until("its end", |sidecar| sidecar.figure("calls.pay.success") == 1);
+    assert_eq!(sidecar.figure("inflight"), 0);
+}
+
+fn with_door(config: &mut serde_json::Value) {
+    config["control"] = json!("127.0.0.1:0");
+}
+
+#[test]
+fn a_body_that_is_not_proper_is_never_passed_on_as_whole_nor_counted_as_served() {
+    let upstream = Upstream::start(|_| ok("served"));
+    let sidecar = Sidecar::with(&[&upstream], with_door);
+    let long = text(200_000);
+    for (what, framing) in [
+        ("two lengths", "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody".into()),
+        ("lengths in a list", "Content-Length: 4, 5\r\n\r\nbody".into()),
+        ("no length", "Content-Length: -4\r\n\r\nbody".into()),
+        ("both framings", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n".into()),
+        ("both, turned", "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n".into()),
+        ("a framing of its own", "Transfer-Encoding: gzip\r\n\r\nbody".into()),
+        ("a bad chunk size", "Transfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n".into()),
+        ("a chunk longer than it says", "Transfer-Encoding: chunked\r\n\r\n2\r\nbody\r\n0\r\n\r\n".into()),
+        ("a bad chunk size later", {
+            format!("Transfer-Encoding: chunked\r\n\r\n30d40\r\n{long}\r\nzz\r\n\r\n")
+        }),
+        ("far too long", "Content-Length: 60000000\r\n\r\nbody".into()),
+    ] {
+        let said = all_of(send(&sidecar, &format!("{}{framing}", head())));
+        assert!(said.is_empty() || said.starts_with("HTTP/1.1 4"), "{what}: {said}");
+    }
+    // Cut short, by a client that then waits for its answer.
+    for framing in [
+        "Content-Length: 9\r\n\r\nhalf".into(),
+        format!("Content-Length: 300000\r\n\r\n{long}"),
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n".into(),
+        format!("Transfer-Encoding: chunked\r\n\r\n30d40\r\n{long}\r\n"),
+    ] {
+        let client = send(&sidecar, &format!("{}{framing}", head()));
+        client.shutdown(std::net::Shutdown::Write).expect("shut");
+        let said = all_of(client);
+        assert!(said.is_empty() || said.starts_with("HTTP/1.1 4"), "{said}");
+    }
+    // Stopped without a word: shown out, the peers of one connection after the other.
+    for framing in [
+        "Content-Length: 9\r\n\r\nhalf".into(),
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n".into(),
+        format!("Content-Length: 300000\r\n\r\n{long}"),
+    ] {
+        let said = all_of(send(&sidecar, &format!("{}{framing}", head())));
+        assert!(said.is_empty() || said.starts_with("HTTP/1.1 408"), "{said}");
+    }
+    assert!(upstream.requests().is_empty(), "{}", upstream.requests().len());
+    assert_eq!((sidecar.figure("calls.pay.success"), sidecar.figure("backend_calls")), (0, 0));
+    sidecar.wait_until("their end", |sidecar| sidecar.figure("inflight") == 0);
+    assert_eq!(sidecar.ask(&call("pay", 5.0)).status, 200);
+}
+
+#[test]
+fn a_legal_slow_client_is_served_and_its_time_runs_from_its_last_byte() {
+    let upstream = Upstream::start(|seen| ok(&seen.body.len().to_string()));
+    let sidecar = Sidecar::start(&[&upstream]);
+    // Held, and longer than what is held; both take longer than their clients then wait for the answer.
+    for length in [40_000, 100_000] {
+        let request = call("pay", 0.5).body(&text(length)).text();
+        let (head, body) = request.split_once("\r\n\r\n").expect("a head");
+        let mut client = sidecar.connect();
+        for part in [head, "\r\n\r\n"] {
+            client.write_all(part.as_bytes()).expect("written");
+            std::thread::sleep(Duration::from_millis(400));
+        }
+        for piece in body.as_bytes().chunks(6_400) {
+            client.write_all(piece).expect("written");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        let answer = Answer::read(&mut client);
+        assert_eq!((answer.status, answer.body), (200, length.to_string()));
+    }
+}
+
+#[test]
+fn a_long_body_is_sent_elsewhere_only_while_nothing_of_it_has_gone_out() {
+    let long = text(300_000);
+    // One takes no connection: all of it can still go to the other.
+    let (up, down) = (Upstream::start(|seen| ok(&seen.body.len().to_string())), Upstream::start(|_| ok("")));
+    down.stop();
+    let sidecar = Sidecar::start(&[&up, &down]);
+    for _ in 0..6 {
+        assert_eq!(sidecar.ask(&call("pay", 5.0).body(&long)).body, "300000");
+    }
+    // One breaks when it has all, and what is sent again is not even what may be.
+    let both = [(); 2].map(|()| Upstream::start(|_| Reply::Close));
+    let sidecar = Sidecar::start(&[&both[0], &both[1]]);
+    for (class, key) in [("pay", ""), ("report", "k")] {
+        let call = call(class, 5.0).header("Idempotency-Key", key);
+        let status = sidecar.ask(&call.body(&long)).status;
+        assert!(![200, 429, 503].contains(&status), "{class}: {status}");
+    }
+    assert_eq!(both[0].requests().len() + both[1].requests().len(), 2, "each once");
+}
+
+#[test]
+fn an_answer_that_breaks_on_its_way_is_cut_so_that_the_client_can_tell() {
+    let long = text(200_000);
+    for framing in
+        ["Content-Length: 300000\r\n\r\n".to_owned(), "Transfer-Encoding: chunked\r\n\r\n30d40\r\n".into()]
+    {
+        let raw = format!("HTTP/1.1 200 OK\r\n{framing}{long}");
+        let upstream = Upstream::start(move |_| Reply::Raw(raw.clone()));
+        let sidecar = Sidecar::with(&[&upstream], with_door);
+        let said = all_of(send(&sidecar, &call("pay", 5.0).text()));
+        assert!(said.starts_with("HTTP/1.1 200"), "{said:.20}");
+        let whole = said.contains("content-length: 300000") || !said.ends_with("0\r\n\r\n");
+        assert!(whole && said.len() < 300_000, "cut, and not ended");
+        sidecar.wait_until("its end", |sidecar| sidecar.figure("inflight") == 0);
+        let figures = ["success", "busy", "failure"].map(|end| sidecar.figure(&format!("calls.pay.{end}")));
+        assert_eq!(figures, [0, 0, 1]);
+    }
+}
+
+#[test]
+fn who_stops_giving_or_taking_is_cut() {
+    let long = text(30_000_000);
+    let half = format!("HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n{}", &long[..100_000]);
+    let gives = Upstream::start(move |seen| match seen.header("x-call-cost") {
+        Some("1") => Reply::Pieces(vec![half.clone()], Duration::ZERO),
+        _ => ok(&long),
+    });
+    let sidecar = Sidecar::with(&[&gives], with_door);
+    let start = Instant::now();
+    // A client that reads nothing: the upstream's connection is closed, and the request is over.
+    let silent = send(&sidecar, &call("pay", 1.0).text());
+    // An upstream that stops in the midst.
+    let stopped = send(&sidecar, &call("pay", 1.0).header("X-Call-Cost", "1").text());
+    let said = all_of(stopped);
+    assert!(said.starts_with("HTTP/1.1 200") && said.len() < 300_000, "{}", said.len());
+    gives.wait_for("the connections to close", |state| state.closed_by_peer == 2);
+    sidecar.wait_until("their end", |sidecar| sidecar.figure("inflight") == 0);
+    assert!(start.elapsed() < Duration::from_secs(30), "{:?}", start.elapsed());
+    assert_eq!(sidecar.figure("calls.pay.failure"), 2);
+    drop(silent);
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -712,6 +712,32 @@
     );
 }
 
+#[test]
+fn a_body_on_its_way_out_costs_no_time_and_is_sent_once() {
+    let mut rig = rig(SAFE, 3);
+    rig.serve_many(20, |_| 30);
+    let (id, _) = rig.ask();
+    rig.tell(Event::Uploading { id, attempt: 0 });
+    // However long it takes, neither the request nor its server is late, and nothing else has to wait for it.
+    assert!(rig.wait(20_000).is_empty());
+    rig.serve_many(20, |_| 30);
+    rig.tell(Event::Uploaded { id, attempt: 0 });
+    assert!(rig.wait(300).is_empty());
+    assert!(rig.end(id, 0, Outcome::Ok, 300).is_empty());
+    // One that never ran can't be sent again all the same, and a refusal of it is true.
+    let (id, _) = rig.ask();
+    rig.tell(Event::Uploading { id, attempt: 0 });
+    assert!(refused(&rig.end(id, 0, Outcome::ConnectFailed, 50)));
+    // One that has run to its end has its client's whole time from there.
+    let (id, _) = rig.ask_as(0, 1_200);
+    rig.tell(Event::Uploading { id, attempt: 0 });
+    rig.wait(3_000);
+    rig.tell(Event::Uploaded { id, attempt: 0 });
+    rig.wait(1_100);
+    let said = rig.end(id, 0, Outcome::Reset, 1_100);
+    assert!(!said.iter().any(|a| matches!(a, Action::Send { .. })), "{said:?}");
+}
+
 // ---- guards ----
 
 #[test]
