Ask discovery at once beside a predecessor, and say yes when it has spoken

The list it was handed was old, and the module waits by chance, up to half of `mustAskIn`, before its first call, to keep starts of many apart (`ask_later`). Ruled out: the predecessor, which had ended by then, and the bans, which name others.

A lock in $TMPDIR shows a process that another runs beside it. It asks for the whole list at once, and accepts clients and says yes when discovery has answered or failed.

--- a/src/api.rs
+++ b/src/api.rs
@@ -210,6 +210,8 @@
     Delta(Vec<Listed>),
     /// The list this sidecar had last, perhaps out of date; comes at its start.
     Cached(Vec<Listed>),
+    /// The same, at the start of a process beside its predecessor, which goes on hearing what this one doesn't.
+    Inherited(Vec<Listed>),
     /// A call to discovery failed, or the subscription broke; the list held stays.
     Failed,
 }
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -139,11 +139,15 @@
             ListNews::Full(lines) => self.merge(true, lines),
             ListNews::Delta(lines) => self.merge(false, lines),
             ListNews::Cached(lines) => {
-                self.merge(true, lines);
-                let all = WINDOW_START / f64::from(self.settings.instances.max(1));
-                self.window = all.max(1.0 / self.capacity());
+                self.begin(lines);
                 self.ask_later(out);
             }
+            // Guards against serving by an old list where the predecessor would have known better. Starts of
+            // that kind come one at a time: there is no crowd at discovery to keep out of.
+            ListNews::Inherited(lines) => {
+                self.begin(lines);
+                out.push(Action::Subscribe);
+            }
             ListNews::Failed => {
                 out.push(Action::Log(Note::ListFailed));
                 self.ask_later(out);
@@ -154,6 +158,12 @@
         }
     }
 
+    fn begin(&mut self, lines: Vec<Listed>) {
+        self.merge(true, lines);
+        let all = WINDOW_START / f64::from(self.settings.instances.max(1));
+        self.window = all.max(1.0 / self.capacity());
+    }
+
     /// Guards against calls in step by all sidecars, at their start and after an outage, that discovery can't
     /// answer: each waits by chance, and less than what would count as being informed.
     fn ask_later(&mut self, out: &mut Vec<Action>) {
@@ -552,7 +562,7 @@
         let (attempt, job, phase) = (*attempt, request.job, request.phase);
         self.land(attempt.server, (id, no));
         match outcome {
-            // Its sample came at the start; who leaves in the midst of an answer says nothing of its server.
+            // Its sample came at the start; who leaves in the midst says nothing of the server.
             Outcome::Ok | Outcome::Cancelled if phase == Phase::Streaming => {}
             Outcome::Ok => self.answered(&attempt, &job, took, out),
             _ => self.unanswered(&attempt, &job, outcome, took, out),
--- a/src/bin/juniperspoke/bans.rs
+++ b/src/bin/juniperspoke/bans.rs
@@ -5,11 +5,11 @@
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::fs::{self, File, Metadata, TryLockError};
+use std::io;
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Duration;
-use std::{env, io};
 use tokio::sync::{Mutex, MutexGuard};
 use tokio::time::{Instant, sleep};
 
@@ -53,14 +53,7 @@
 
 impl Bans {
     /// Reads what an earlier process has left.
-    pub fn open(sidecar: &str) -> Arc<Bans> {
-        Bans::open_in(&env::temp_dir(), sidecar)
-    }
-
-    fn open_in(dir: &Path, sidecar: &str) -> Arc<Bans> {
-        // Guards against a name that is no file's, and against another sidecar's file where the folder is shared.
-        let sidecar: String =
-            sidecar.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect();
+    pub fn open(dir: &Path, sidecar: &str) -> Arc<Bans> {
         let file = dir.join(format!("bans-{sidecar}.json"));
         let lock = file.with_extension("lock");
         let mut known = Known { names: Names::new(), version: None };
--- a/src/bin/juniperspoke/config.rs
+++ b/src/bin/juniperspoke/config.rs
@@ -78,6 +78,12 @@
     }
 }
 
+/// A sidecar's name as a part of a file's. Guards against a name that is none, and against another sidecar's files
+/// where the folder is shared.
+pub fn file_name(sidecar: &str) -> String {
+    sidecar.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect()
+}
+
 fn file() -> Result<String, ConfigError> {
     let path = env::var("BALANCER_CONFIG").map_err(|_| ConfigError::NoFile)?;
     fs::read_to_string(&path).map_err(|e| ConfigError::Read(path, e))
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -64,6 +64,8 @@
     to: mpsc::UnboundedSender<Happening>,
     next_id: Arc<AtomicU32>,
     ready: Arc<AtomicBool>,
+    /// Has discovery spoken, if only to fail, where it is waited for?
+    told: Arc<AtomicBool>,
 }
 
 /// Tells that the client has left if it goes before its answer.
@@ -81,9 +83,9 @@
         drop(self.to.send(happening));
     }
 
-    /// Are there upstreams to send to?
+    /// Are there upstreams to send to, by a list that is not known to be behind?
     pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Relaxed)
+        self.ready.load(Ordering::Relaxed) && self.told.load(Ordering::Relaxed)
     }
 
     /// Asks the driver; `None` if it has ended.
@@ -160,8 +162,8 @@
 impl Driver {
     pub fn new(config: Arc<Config>, upstreams: Upstreams, subscribe: Arc<Notify>) -> (Driver, Handle) {
         let (to, from) = mpsc::unbounded_channel();
-        let (next_id, ready) = Default::default();
-        let handle = Handle { to, next_id, ready };
+        let (next_id, ready, told) = Default::default();
+        let handle = Handle { to, next_id, ready, told };
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let driver = Driver {
             balancer: Balancer::new(config.settings.clone(), config.seed),
@@ -181,10 +183,13 @@
         (driver, handle)
     }
 
-    /// The list as it was last had, then whatever happens.
-    pub async fn run(mut self, known: Option<News>) {
+    /// The list as it was last had, then whatever happens. Beside a predecessor this process is not ready before
+    /// discovery has spoken: by then it knows what the other does.
+    pub async fn run(mut self, known: Option<News>, beside: bool) {
         let lines = known.map_or(Vec::new(), |known| self.take_over(known).1);
-        self.handle_event(Event::List(ListNews::Cached(lines)));
+        let cached = if beside { ListNews::Inherited(lines) } else { ListNews::Cached(lines) };
+        self.handle.told.store(!beside, Ordering::Relaxed);
+        self.handle_event(Event::List(cached));
         loop {
             self.fire();
             let next = self.timers.peek().map(|Reverse((at, _))| *at);
@@ -243,13 +248,17 @@
                 self.handle_event(Event::Probed { server, outcome, held });
             }
             Happening::List(news) => {
+                self.handle.told.store(true, Ordering::Relaxed);
                 let (complete, lines) = self.take_over(news);
                 if complete || !lines.is_empty() {
                     let news = if complete { ListNews::Full(lines) } else { ListNews::Delta(lines) };
                     self.handle_event(Event::List(news));
                 }
             }
-            Happening::ListFailed => self.handle_event(Event::List(ListNews::Failed)),
+            Happening::ListFailed => {
+                self.handle.told.store(true, Ordering::Relaxed);
+                self.handle_event(Event::List(ListNews::Failed));
+            }
             // Whoever asked may have left.
             Happening::Hosts(to) => drop(to.send(self.balancer.hosts())),
             Happening::Lists(server, to) => drop(to.send(self.balancer.lists(server))),
@@ -485,7 +494,7 @@
         let (id, patience) = (RequestId(0), Duration::from_secs(3_600));
         let arrival = Arrival { id, class: 0, cost: None, patience, origin: Origin::Fresh };
         driver.balancer.handle(driver.started.1, Event::Request(arrival), &mut Vec::new());
-        tokio::spawn(driver.run(None));
+        tokio::spawn(driver.run(None, false));
         let outbound = Outbound {
             method: Method::POST,
             uri: Uri::from_static("/api"),
--- a/src/bin/juniperspoke/life.rs
+++ b/src/bin/juniperspoke/life.rs
@@ -1,5 +1,7 @@
 //! The life of the process: it serves clients, drains, or ends.
 
+use std::fs::{File, TryLockError};
+use std::path::Path;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -71,6 +73,32 @@
     }
 }
 
+/// Shows the other processes of this sidecar, which share its `$TMPDIR`, that this one runs, for as long as it is
+/// kept.
+pub struct Presence {
+    /// Locked while it is open.
+    _file: Option<File>,
+}
+
+impl Presence {
+    /// That of a process beside which no other may run.
+    pub fn none() -> Presence {
+        Presence { _file: None }
+    }
+
+    /// Does another process run beside this one? Where that can't be told, it may.
+    pub fn enter(dir: &Path, sidecar: &str) -> (Presence, bool) {
+        let Ok(file) = File::create(dir.join(format!("running-{sidecar}.lock"))) else {
+            return (Presence { _file: None }, true);
+        };
+        let alone = file.try_lock();
+        // What an exclusive lock was for is over; whoever comes next finds a shared one.
+        let shared = file.unlock().is_ok() && file.try_lock_shared().is_ok();
+        let beside = !shared || matches!(alone, Err(TryLockError::WouldBlock | TryLockError::Error(_)));
+        (Presence { _file: Some(file) }, beside)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -23,10 +23,11 @@
 use config::{Config, ConfigError};
 use control::Control;
 use driver::Driver;
-use life::Life;
+use life::{Life, Presence};
 use listener::ListenError;
 use metrics::Metrics;
 use server::Server;
+use std::env;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::process::ExitCode;
@@ -106,8 +107,11 @@
             None
         }
     };
-    let revision = known.as_ref().map(|known| known.revision);
-    let bans = Bans::open(&config.name);
+    let (dir, name) = (env::temp_dir(), config::file_name(&config.name));
+    let (_presence, beside) = if shared { Presence::enter(&dir, &name) } else { (Presence::none(), false) };
+    // Beside a predecessor the whole list is asked for: a watch says nothing until there is something new.
+    let revision = known.as_ref().map(|known| known.revision).filter(|_| !beside);
+    let bans = Bans::open(&dir, &name);
     let life = Arc::new(Life::new());
     let server =
         Server::new(config.clone(), handle.clone(), life.clone(), metrics.clone(), budget, clients.max(1));
@@ -115,14 +119,23 @@
         eprintln!("{}: control on {}", config.name, listener.local_addr()?);
         tokio::spawn(Control::new(life.clone(), metrics, handle.clone(), bans.clone()).listen(listener));
     }
-    let mut driving = tokio::spawn(driver.run(known));
+    let mut driving = tokio::spawn(driver.run(known, beside));
     // Before the first request: the driver takes what it is told in order.
     tokio::spawn(bans.follow(shared, handle.clone()));
     let (moved, at) = watch::channel(config.discovery);
     tokio::spawn(reload(hangup, moved));
-    tokio::spawn(discovery::follow(config.clone(), at, revision, subscribe, handle));
+    tokio::spawn(discovery::follow(config.clone(), at, revision, subscribe, handle.clone()));
     eprintln!("{}: listening on {}", config.name, listener.local_addr()?);
-    let listening = tokio::spawn(server.clone().listen(listener));
+    let listening = tokio::spawn({
+        let server = server.clone();
+        async move {
+            // Until then whoever comes is the predecessor's.
+            while beside && !handle.is_ready() {
+                sleep(LOOK).await;
+            }
+            server.listen(listener).await;
+        }
+    });
     tokio::select! {
         _ = term.recv() => {}
         ended = &mut driving => {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -740,6 +740,17 @@
 
 // ---- guards ----
 
+#[test]
+fn a_process_beside_its_predecessor_asks_discovery_at_once() {
+    let asked = settings(vec![class(SAFE)]);
+    let asked = Settings { discovery: Discovery::OnRequest { must_ask_in: ms(10_000) }, ..asked };
+    let mut balancer = Balancer::new(asked, 1);
+    let mut out = vec![];
+    balancer.handle(ms(0), Event::List(ListNews::Inherited(vec![line(1), line(2)])), &mut out);
+    assert_eq!(out, [Action::Subscribe]);
+    assert_eq!(balancer.hosts().listed, 2);
+}
+
 #[test]
 fn waits_for_discovery_differ_between_sidecars() {
     // Guards against calls in step, at the start too, that discovery cannot answer.
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -352,3 +352,24 @@
     assert_eq!(sidecar.figure("hosts_down"), 0);
     assert_eq!(sidecar.ask(&call("pay", 5.0)).status, 200);
 }
+
+#[test]
+fn beside_its_predecessor_a_process_is_ready_once_discovery_has_spoken() {
+    let [kept, left] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
+    let socket = listener();
+    let old = Sidecar::inheriting(&socket, &[&kept, &left], |config| {
+        with_door(config);
+        config["settings"]["discovery"] = json!("on_request");
+        // Asked for seldom enough that only the start can be why it is asked.
+        config["settings"]["obligations"] = json!({"mustAskIn": 600_000.0});
+    });
+    // Its own known list is old; what is new is told to whoever asks.
+    old.discovery.say(2, true, &[kept.line("Ready"), left.line("Terminating")]);
+    let new = old.successor(&socket);
+    let before = left.requests().len();
+    drop(old);
+    for _ in 0..20 {
+        assert_eq!(new.ask(&call("pay", 5.0)).status, 200);
+    }
+    assert_eq!(left.requests().len(), before);
+}
