Bound what a cheap request's wait says of its server

A line every 250 ms of what the module knows showed averages of 22 to 66 s (de23: 22933 ms, c31e: 66222 ms with no attempt in flight), though no request waits for more than 2 s. A sample is scaled by the mean work over the request's own (`answered`, `unanswered`, `latency`): a cheap one that stood in a queue for 0.3 s entered as tens of seconds, replaced the average at once and kept the server out of use until it had decayed. Ruled out: the window (limits of 40 to 80 against 30 to 70 in flight), the fresh start at an upgrade (time-outs came before it), bans (all "put back" were used).

A wait is not the work's, so a time counts as no more than a mean request's on top of what was measured.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -92,7 +92,9 @@
     /// What to expect there now: an attempt out for longer than the average speaks by its age.
     pub(crate) fn latency(&self, now: f64, typical: f64) -> f64 {
         let average = self.average(now, typical);
-        self.flights.first().map_or(average, |oldest| average.max((now - oldest.sent) * oldest.scale))
+        self.flights
+            .first()
+            .map_or(average, |oldest| average.max(as_mean(now - oldest.sent, oldest.scale, typical)))
     }
 }
 
@@ -596,7 +598,7 @@
     /// An answer is a sample of its server and of its class, and ends a bad spell.
     fn answered(&mut self, of: &Attempt, job: &Job, took: f64, out: &mut Vec<Action>) {
         self.note_service(job);
-        let sample = took * of.scale;
+        let sample = as_mean(took, of.scale, self.mean_latency);
         self.note_fit(of.server, job, took);
         follow(&mut self.mean_latency, took, MEAN_GAIN);
         self.note_held(of, sample);
@@ -624,13 +626,13 @@
 
     /// A failure enters as max(measured, timeout); one cancelled by us tells that an answer takes longer.
     fn unanswered(&mut self, of: &Attempt, job: &Job, outcome: Outcome, took: f64, out: &mut Vec<Action>) {
-        let (now, typical, slow) = (self.now, self.typical, 2.0 * self.mean_latency);
+        let (now, typical, mean, slow) = (self.now, self.typical, self.mean_latency, 2.0 * self.mean_latency);
         let Some(server) = self.servers.get_mut(&of.server) else { return };
         let (sample, blame, load) = match outcome {
             Outcome::Moot | Outcome::Ok => return,
-            Outcome::Cancelled => (took * of.scale, took > job.aim / 2.0, true),
+            Outcome::Cancelled => (as_mean(took, of.scale, mean), took > job.aim / 2.0, true),
             // Guards against blaming a server for a client with little patience left.
-            Outcome::Timeout => (took.max(of.timeout), took * of.scale > slow, true),
+            Outcome::Timeout => (took.max(of.timeout), as_mean(took, of.scale, mean) > slow, true),
             Outcome::Full => (took.max(of.timeout), false, true),
             _ => (took.max(of.timeout), true, false),
         };
--- a/src/decay_tests.rs
+++ b/src/decay_tests.rs
@@ -50,3 +50,16 @@
     near(s.latency(200.0, 100.0), 100.0);
     near(s.latency(600.0, 100.0), 300.0);
 }
+
+#[test]
+fn work_scales_a_time_and_a_wait_does_not() {
+    // Eight times the mean work, at a server of the usual speed; a tenth, at one that is four times slower.
+    near(as_mean(800.0, 1.0 / 8.0, 100.0), 100.0);
+    near(as_mean(40.0, 10.0, 100.0), 140.0);
+    // A hundredth of the mean work after a wait of 300 ms is no sample of 30 s.
+    near(as_mean(301.0, 100.0, 100.0), 401.0);
+    let mut s = server();
+    s.fold(0.0, 100.0);
+    s.flights.push(Flight { id: RequestId(1), attempt: 0, sent: 0.0, scale: 100.0 });
+    near(s.latency(300.0, 100.0), 400.0);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,6 +21,13 @@
     Duration::try_from_secs_f64(ms / 1e3).unwrap_or(Duration::ZERO)
 }
 
+/// The time of a request as that of a mean one, `scale` being what its work makes of it. Guards against a cheap
+/// request that has stood in a queue: the wait was not its work's, and no mean one would have waited many times as
+/// long. It would only have taken its own time more.
+pub fn as_mean(took: f64, scale: f64, mean: f64) -> f64 {
+    (took * scale).min(took + mean)
+}
+
 /// An attempt in flight, as its server sees it.
 pub struct Flight {
     pub id: RequestId,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -738,6 +738,25 @@
     assert!(!said.iter().any(|a| matches!(a, Action::Send { .. })), "{said:?}");
 }
 
+#[test]
+fn a_cheap_request_that_stood_in_a_queue_does_not_damn_its_server() {
+    let mut rig = rig(SAFE, 2);
+    let send = |rig: &mut Rig, id: u32, cost: u64| {
+        let (id, patience) = (RequestId(id), ms(1_200));
+        let arrival = Arrival { id, class: 0, cost: Some(ms(cost)), patience, origin: Origin::Fresh };
+        sent(&rig.tell(Event::Request(arrival))).expect("sent at once")
+    };
+    for (id, cost, took) in (0..40).map(|id| (id, 100, 100)).chain([(40, 1, 300)]) {
+        send(&mut rig, id, cost);
+        rig.wait(took);
+        rig.end(RequestId(id), 0, Outcome::Ok, took);
+    }
+    // It looks slower, but not by so much that one with a request in flight is the better.
+    rig.wait(2_500);
+    let both = [41, 42].map(|id| send(&mut rig, id, 100));
+    assert_ne!(both[0], both[1]);
+}
+
 // ---- guards ----
 
 #[test]
