--- a/src/bin/juniperspoke/listener.rs
+++ b/src/bin/juniperspoke/listener.rs
@@ -18,8 +18,8 @@
 
 #[derive(Debug, thiserror::Error)]
 pub enum ListenError {
-    #[error("listening on {0}: {1}")]
-    Bind(SocketAddr, io::Error),
+    #[error("{0}: listening on {1}: {2}")]
+    Bind(&'static str, SocketAddr, io::Error),
     #[error("{VARIABLE}: {0:?} is no descriptor of a socket")]
     Number(String),
     #[error("{VARIABLE}: descriptor {0} is not open or no socket: {1}")]
@@ -63,15 +63,15 @@
     TcpListener::from_std(listener)
 }
 
-/// Guards against a predecessor that still holds the address while it ends.
-pub async fn bind(addr: SocketAddr) -> Result<TcpListener, ListenError> {
+/// Binds the address of this setting. Guards against a predecessor that still holds the address while it ends.
+pub async fn bind(key: &'static str, addr: SocketAddr) -> Result<TcpListener, ListenError> {
     let since = Instant::now();
     loop {
         match TcpListener::bind(addr).await {
             Err(error) if error.kind() == io::ErrorKind::AddrInUse && since.elapsed() < PREDECESSOR => {
                 sleep(AGAIN).await;
             }
-            result => return result.map_err(|error| ListenError::Bind(addr, error)),
+            result => return result.map_err(|error| ListenError::Bind(key, addr, error)),
         }
     }
 }
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -82,19 +82,21 @@
     let shared = inherited.is_some();
     let parts = if shared { 2 } else { 1 };
     let control = match config.control {
-        Some(addr) => Some(listener::bind(addr).await?),
+        Some(addr) => Some(listener::bind("control", addr).await?),
         None => None,
     };
     let listener = match inherited {
         Some(listener) => listener::wrap(listener)?,
-        None => listener::bind(config.listen).await?,
+        None => listener::bind("listen", config.listen).await?,
     };
     let places = if control.is_some() { control::PLACES } else { 0 };
     let connections = (config.sockets / parts).saturating_sub(RESERVED + places);
     let memory = config.memory / parts;
     let connections = connections.min(memory / 2 / BUFFERS);
     let budget = Budget::new(memory / 4);
-    let (clients, upstreams) = (connections / 2, connections - connections / 2);
+    // Clients use up to a third of all descriptors; where half is another's, that is more than half of ours.
+    let clients = (connections / 2).max((config.sockets / 3).min(connections * 2 / 3));
+    let upstreams = connections - clients;
     let settings = (config.settings.keep_alive, config.surroundings.connect_timeout);
     let metrics = Metrics::new(&config.surroundings.classes);
     let upstreams = Upstreams::new(upstreams.max(1), settings.0, settings.1, metrics.clone(), budget.clone());
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -29,7 +29,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// What speaks of the application's connection, or is written anew, and doesn't go on to upstreams.
@@ -49,7 +49,9 @@
 const REMEMBERED: usize = 8_192;
 /// The wait after an accept that failed, as when there are no descriptors left.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
-/// Where there is no room, connections are asked again after this time to give way.
+/// One of so many places is kept free for newcomers.
+const SPARE: usize = 16;
+/// Where there is no room, another connection is asked after this time to give way.
 const GIVE_WAY: Duration = Duration::from_secs(1);
 /// The first byte of a body has to come this soon after its head, or while a newcomer may still be kept waiting.
 const BODY_PATIENCE: Duration = Duration::from_millis(600);
@@ -84,9 +86,11 @@
     seen: Mutex<Seen>,
     life: Arc<Life>,
     metrics: Arc<Metrics>,
-    /// Bumped to close connections that are between requests.
-    close_idle: watch::Sender<()>,
+    /// Told once for each connection that has to close as soon as it is between requests.
+    give_way: Notify,
     room: Arc<Semaphore>,
+    /// Places that are kept free for newcomers.
+    spare: usize,
     /// Connections that have carried a request and are still open.
     used: AtomicUsize,
     /// All that are open.
@@ -106,8 +110,9 @@
             seen: Mutex::default(),
             life,
             metrics,
-            close_idle: watch::Sender::new(()),
+            give_way: Notify::new(),
             room: Arc::new(Semaphore::new(most)),
+            spare: most / SPARE,
             used: AtomicUsize::new(0),
             open: AtomicUsize::new(0),
             accepted: watch::Sender::new(Instant::now()),
@@ -145,18 +150,19 @@
                     if !std::mem::replace(&mut failing, true) {
                         eprintln!("accept: {error}");
                     }
-                    self.close_idle.send_replace(());
+                    self.give_way.notify_one();
                     sleep(ACCEPT_AGAIN).await;
                 }
             }
         }
     }
 
-    /// Guards against running out of descriptors: connections between requests give way, and newcomers wait.
+    /// Guards against running out of descriptors: for each newcomer one connection gives way, and newcomers wait
+    /// where none has yet. Were all asked, each of their clients would come back as a newcomer.
     async fn permit(&self) -> Option<OwnedSemaphorePermit> {
         loop {
-            if self.room.available_permits() == 0 {
-                self.close_idle.send_replace(());
+            if self.room.available_permits() <= self.spare {
+                self.give_way.notify_one();
             }
             if let Ok(permit) = timeout(GIVE_WAY, self.room.clone().acquire_owned()).await {
                 return permit.ok();
@@ -167,16 +173,17 @@
     async fn serve(self: Arc<Self>, stream: TcpStream) {
         // Without it answers are merely slower.
         drop(stream.set_nodelay(true));
-        let (used, since) = (AtomicBool::new(false), Instant::now());
+        let (used, begun, since) = (AtomicBool::new(false), Notify::new(), Instant::now());
         let (peer, heads) = Peer::client(stream);
         let service = service_fn(|request| {
             if !used.swap(true, Ordering::Relaxed) {
                 self.used.fetch_add(1, Ordering::Relaxed);
+                begun.notify_one();
             }
             let (server, twofold) = (self.clone(), heads.next_is_twofold());
             async move { Ok::<_, Infallible>(server.answer(request, twofold, since).await) }
         });
-        let (mut close_idle, mut life, mut closed) = (self.close_idle.subscribe(), self.life.watch(), None);
+        let (mut life, mut closed, mut gives_way) = (self.life.watch(), None, false);
         let mut http = http1::Builder::new();
         http.max_buf_size(BUFFER).header_read_timeout(None);
         let connection = http.serve_connection(TokioIo::new(peer), service);
@@ -190,7 +197,9 @@
                 _ = connection.as_mut() => break,
                 Ok(()) = life.changed() => continue,
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => closed = due,
-                _ = close_idle.changed() => {}
+                // A newcomer whose first request is on its way is not asked.
+                () = begun.notified(), if !used.load(Ordering::Relaxed) => continue,
+                () = self.give_way.notified(), if used.load(Ordering::Relaxed) && !gives_way => gives_way = true,
             }
             // Guards against closing on a newcomer whose first request is on its way.
             if used.load(Ordering::Relaxed) {
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -143,7 +143,7 @@
     let addr = taken.local_addr().expect("an address").to_string();
     for (text, said) in [("nowhere", "control"), (addr.as_str(), addr.as_str())] {
         let error = start_error(":", Stdio::null(), |config| config["control"] = json!(text));
-        assert!(error.contains(said), "{text}: {error}");
+        assert!(error.contains("control") && error.contains(said), "{text}: {error}");
     }
 }
 
@@ -373,3 +373,27 @@
     }
     assert_eq!(left.requests().len(), before);
 }
+
+#[test]
+fn old_and_new_together_stay_within_the_descriptors_of_one() {
+    let upstream = Upstream::start(|_| ok("served"));
+    let socket = listener();
+    let limits = |config: &mut serde_json::Value| {
+        with_door(config);
+        config["limits"]["sockets"] = json!(160);
+    };
+    let old = Sidecar::inheriting(&socket, &[&upstream], limits);
+    let new = old.successor(&socket);
+    // More than both have room for, kept by their clients.
+    let mut kept = Vec::new();
+    for i in 0..200 {
+        let mut client = old.connect();
+        client.write_all(call("pay", 10.0).text().as_bytes()).expect("written");
+        assert_eq!(Answer::read(&mut client).status, 200, "connection {i}");
+        kept.push(client);
+    }
+    let held = old.descriptors() + new.descriptors();
+    assert!(held <= 160, "{held}");
+    drop(kept);
+    assert_eq!(new.ask(&call("pay", 10.0)).status, 200);
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -323,6 +323,25 @@
     assert_eq!(sidecar.ask(&call("pay", 5.0)).status, 200);
 }
 
+#[test]
+fn a_newcomer_without_room_costs_one_other_its_connection_and_not_all() {
+    let upstream = Upstream::start(|_| ok("served"));
+    let sidecar = Sidecar::with(&[&upstream], |config| config["limits"]["sockets"] = json!(80));
+    let mut kept: Vec<_> = (0..32).map(|_| sidecar.connect()).collect();
+    for client in &mut kept {
+        client.write_all(call("pay", 5.0).text().as_bytes()).expect("written");
+        assert_eq!(Answer::read(client).status, 200);
+    }
+    assert_eq!(sidecar.ask(&call("pay", 5.0)).status, 200);
+    let is_closed = |client: &mut std::net::TcpStream| {
+        client.set_read_timeout(Some(Duration::from_millis(50))).expect("set");
+        client.read(&mut [0]).is_ok()
+    };
+    // Those asked ahead to keep places free, one for each of the last to come.
+    let closed = kept.iter_mut().map(is_closed).filter(|&closed| closed).count();
+    assert!((1..=8).contains(&closed), "{closed} of 32");
+}
+
 #[test]
 fn what_discovery_is_asked_for_is_watched_once_the_module_subscribes() {
     let [a, b] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
