--- a/src/bin/juniperspoke/control.rs
+++ b/src/bin/juniperspoke/control.rs
@@ -10,7 +10,7 @@
 use hyper::header::{ALLOW, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use percent_encoding::percent_decode_str;
 use std::collections::VecDeque;
@@ -100,12 +100,15 @@
 
     async fn serve(&self, stream: TcpStream, id: u64) {
         let service = service_fn(|request| async move {
-            let (status, text) = self.answer(request, id).await.unwrap_or_else(|no| no);
+            let allowed = method(request.uri().path()).filter(|method| request.method() != method);
+            let answer = match allowed {
+                Some(method) => Err((StatusCode::METHOD_NOT_ALLOWED, format!("this call is a {method}"))),
+                None => self.answer(request, id).await,
+            };
+            let (status, text) = answer.unwrap_or_else(|no| no);
             let mut response = Response::new(Full::new(Bytes::from(text + "\n")));
             *response.status_mut() = status;
-            if status == StatusCode::METHOD_NOT_ALLOWED {
-                response.headers_mut().insert(ALLOW, HeaderValue::from_static("GET, PUT"));
-            }
+            response.headers_mut().extend(allowed.map(|method| (ALLOW, HeaderValue::from_static(method))));
             Ok::<_, Infallible>(response)
         });
         let mut http = http1::Builder::new();
@@ -122,29 +125,25 @@
         let body = body.map_err(|_| no(StatusCode::REQUEST_TIMEOUT, "the call does not end"))?;
         body.map_err(|_| no(StatusCode::PAYLOAD_TOO_LARGE, "a broken or too long body"))?;
         self.heard(id);
-        match (head.uri.path(), head.method) {
-            ("/ready", Method::GET) => self.ready(),
-            ("/metrics", Method::GET) => {
+        match head.uri.path() {
+            "/ready" => self.ready(),
+            "/metrics" => {
                 let hosts = self.driver.hosts().await.ok_or_else(unanswered)?;
                 Ok(yes(self.metrics.text(hosts).trim_end()))
             }
-            ("/drain", Method::PUT) => {
+            "/drain" => {
                 self.life.drain();
                 Ok(yes("draining"))
             }
-            ("/undrain", Method::PUT) => match self.life.stage() {
+            "/undrain" => match self.life.stage() {
                 Stage::Ending => Err(no(StatusCode::CONFLICT, "the process ends")),
                 _ => {
                     self.life.undrain();
                     Ok(yes("taking clients"))
                 }
             },
-            ("/upstreams/disable", Method::PUT) => self.ban(head.uri.query(), true).await,
-            ("/upstreams/enable", Method::PUT) => self.ban(head.uri.query(), false).await,
-            (
-                "/ready" | "/metrics" | "/drain" | "/undrain" | "/upstreams/disable" | "/upstreams/enable",
-                _,
-            ) => Err(no(StatusCode::METHOD_NOT_ALLOWED, "GET for /ready and /metrics, PUT for the others")),
+            "/upstreams/disable" => self.ban(head.uri.query(), true).await,
+            "/upstreams/enable" => self.ban(head.uri.query(), false).await,
             _ => Err(no(StatusCode::NOT_FOUND, "no such call")),
         }
     }
@@ -176,6 +175,15 @@
     }
 }
 
+/// The method of a call; `None` where there is no such call.
+fn method(path: &str) -> Option<&'static str> {
+    match path {
+        "/ready" | "/metrics" => Some("GET"),
+        "/drain" | "/undrain" | "/upstreams/disable" | "/upstreams/enable" => Some("PUT"),
+        _ => None,
+    }
+}
+
 /// The one `name` of a query. Guards against an id that is cut or spelt wrong on its way: it would be another's.
 fn name(query: &str) -> Result<String, Said> {
     let bad = |why| no(StatusCode::BAD_REQUEST, why);
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -107,6 +107,9 @@
         assert!(said.is_empty() || said.starts_with("HTTP/1.1 4"), "{what}: {said}");
     }
     assert_eq!(sidecar.ready(), 200, "none of it was a drain");
+    let mut door = sidecar.door();
+    door.write_all(b"GET /drain HTTP/1.1\r\nHost: n0\r\n\r\n").expect("written");
+    assert_eq!(Answer::read(&mut door).header("allow"), Some("PUT"));
     // One call to a connection.
     let mut door = sidecar.door();
     let twice = "GET /ready HTTP/1.1\r\nHost: n0\r\n\r\n".repeat(2);
