Blame no upstream for our own want of descriptors; give clients more of them

An attempt that found no room for its connection was told as ConnectFailed, which ejects an upstream at once (upstream.rs, `connection`); it is Moot now. The door takes 8 places instead of 16: who holds one without a word gives way.

--- a/src/bin/juniperspoke/control.rs
+++ b/src/bin/juniperspoke/control.rs
@@ -22,8 +22,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-/// Connections that the door holds at most: more than those who hold one without a word are.
-pub const PLACES: usize = 16;
+/// Connections that the door holds at most. A call takes some ms, and who holds one without a word gives way, so
+/// few are enough, and the clients' are not many where half is kept for another process.
+pub const PLACES: usize = 8;
 /// A call's head and its body each have to be here in this time; nobody needs longer on the machine itself.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// The longest head of a call, the least that the HTTP library allows, and the longest body, which no call needs.
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -201,16 +201,18 @@
         Some(Slot(self.open.clone()))
     }
 
-    /// `None` if none came up in time, which proves that nothing ran.
-    async fn connection(&self, addr: SocketAddr, by: Instant) -> Option<Pooled> {
+    /// The outcome if there is none; each proves that nothing ran. Guards against blaming an upstream for our own
+    /// lack of room.
+    async fn connection(&self, addr: SocketAddr, by: Instant) -> Result<Pooled, Outcome> {
         if let Some(kept) = self.kept(addr) {
-            return Some(kept);
+            return Ok(kept);
         }
-        let slot = self.slot()?;
+        let slot = self.slot().ok_or(Outcome::Moot)?;
         let by = by.min(Instant::now() + self.connect_timeout);
-        let mut connection = timeout_at(by, TcpConnection::open(addr)).await.ok()?.ok()?;
-        connection.sender.ready().await.ok()?;
-        Some(Pooled { connection, idle_for: Duration::ZERO, _slot: slot })
+        let opened = timeout_at(by, TcpConnection::open(addr)).await.ok().and_then(Result::ok);
+        let mut connection = opened.ok_or(Outcome::ConnectFailed)?;
+        connection.sender.ready().await.map_err(|_| Outcome::ConnectFailed)?;
+        Ok(Pooled { connection, idle_for: Duration::ZERO, _slot: slot })
     }
 
     /// One attempt, from choosing a connection to the end of the answer, or until it is passed on. Each step is
@@ -220,8 +222,9 @@
     ) {
         let ended = |outcome| report(Step::Ended(outcome, Served::default()));
         let mut by = Instant::now() + timeout;
-        let Some(mut pooled) = self.connection(target.addr, by).await else {
-            return ended(Outcome::ConnectFailed);
+        let mut pooled = match self.connection(target.addr, by).await {
+            Ok(pooled) => pooled,
+            Err(outcome) => return ended(outcome),
         };
         let mut news = match &outbound.body {
             RequestBody::Held(_) => None,
@@ -340,8 +343,9 @@
     pub async fn probe(
         self, addr: SocketAddr, by: Instant, held_name: Option<&str>,
     ) -> (Outcome, Option<f64>) {
-        let Some(mut pooled) = self.connection(addr, by).await else {
-            return (Outcome::ConnectFailed, None);
+        let mut pooled = match self.connection(addr, by).await {
+            Ok(pooled) => pooled,
+            Err(outcome) => return (outcome, None),
         };
         let path = if held_name.is_some() { "/stats" } else { "/health/live" };
         let mut request = Request::new(Outgoing::empty());
@@ -435,9 +439,10 @@
         let by = Instant::now() + LONG;
         let first = upstreams.connection(addr(0), by).await.expect("room");
         let _second = upstreams.connection(addr(1), by).await.expect("room");
-        assert!(upstreams.connection(addr(2), by).await.is_none(), "both are in use");
+        let none = upstreams.connection(addr(2), by).await.err();
+        assert_eq!(none, Some(Outcome::Moot), "both are in use, which says nothing of the third");
         upstreams.keep(addr(0), first);
-        assert!(upstreams.connection(addr(2), by).await.is_some(), "the idle one gave way");
+        assert!(upstreams.connection(addr(2), by).await.is_ok(), "the idle one gave way");
         assert_eq!(upstreams.open.load(Ordering::Relaxed), 1);
     }
 
