Add listd: one instance with revisions, watches, tombstones and leases

This is its first instance: a store that bumps one revision per change and stamps entries with it, serves discovery's list and the platform's blocking query (?index=&wait=), keeps tombstones for watchers behind and hands the whole list to those behind the compaction horizon, and tombstones entries whose lease lapsed after a grace.

The sidecar is unchanged.

--- /dev/null
+++ b/src/bin/listd/config.rs
@@ -0,0 +1,87 @@
+//! The command line and the TOML configuration of an instance.
+
+use crate::store::Limits;
+use clap::Parser;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::{fs, io};
+
+/// The command line; what it names wins over the file.
+#[derive(Debug, Parser)]
+#[command(name = "listd", about = "The list service: upstreams and sidecars, with revisions and watches")]
+pub struct Args {
+    /// The TOML configuration.
+    #[arg(long)]
+    pub config: Option<PathBuf>,
+    /// Where to listen for HTTP, as `IP:PORT`.
+    #[arg(long)]
+    pub listen: Option<SocketAddr>,
+    /// The store's file.
+    #[arg(long)]
+    pub data: Option<PathBuf>,
+}
+
+/// The file's form. Every field has a default, so an empty file is a whole configuration.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Config {
+    pub listen: SocketAddr,
+    pub data: PathBuf,
+    /// Revisions of tombstones kept for watchers that are behind: some minutes of a busy fleet's changes.
+    pub retain: u64,
+    /// How long an entry stays after its lease lapsed, in ms: a paused owner or a late beat is not a dead one.
+    pub grace_ms: u64,
+    /// The most entries, tombstones included: 300 sidecars and 200 upstreams many times over.
+    pub max_entries: usize,
+    /// Connections served at once; more wait in the kernel's queue.
+    pub max_connections: usize,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            listen: SocketAddr::from(([127, 0, 0, 1], 8500)),
+            data: PathBuf::from("listd.redb"),
+            retain: 1_000,
+            grace_ms: 5_000,
+            max_entries: 10_000,
+            max_connections: 2_048,
+        }
+    }
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("reading {0}: {1}")]
+    Read(PathBuf, io::Error),
+    #[error("{0}: {1}")]
+    Toml(PathBuf, toml::de::Error),
+}
+
+impl Config {
+    /// The file named on the command line, or the defaults, with the command line over them.
+    ///
+    /// # Errors
+    /// Where the file can't be read or holds what is not a configuration.
+    pub fn load(args: &Args) -> Result<Config, ConfigError> {
+        let mut config = match &args.config {
+            None => Config::default(),
+            Some(path) => {
+                let text = fs::read_to_string(path).map_err(|e| ConfigError::Read(path.clone(), e))?;
+                toml::from_str(&text).map_err(|e| ConfigError::Toml(path.clone(), e))?
+            }
+        };
+        if let Some(listen) = args.listen {
+            config.listen = listen;
+        }
+        if let Some(data) = &args.data {
+            config.data = data.clone();
+        }
+        Ok(config)
+    }
+
+    pub fn limits(&self) -> Limits {
+        Limits { retain: self.retain, grace_ms: self.grace_ms, max_entries: self.max_entries }
+    }
+}
