Replicate listd through openraft: log and store on redb, raft's calls over hyper

The leader alone renews every lease at the start of its term (its clock is another) and tombstones lapsed ones. Each instance reaches its peers by its own configuration.

The sidecar is unchanged.

--- a/src/bin/listd/config.rs
+++ b/src/bin/listd/config.rs
@@ -3,6 +3,7 @@
 use crate::store::Limits;
 use clap::Parser;
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::{fs, io};
@@ -20,6 +21,9 @@
     /// The store's file.
     #[arg(long)]
     pub data: Option<PathBuf>,
+    /// This instance's id among the peers of the file.
+    #[arg(long)]
+    pub id: Option<u64>,
 }
 
 /// The file's form. Every field has a default, so an empty file is a whole configuration.
@@ -36,6 +40,10 @@
     pub max_entries: usize,
     /// Connections served at once; more wait in the kernel's queue.
     pub max_connections: usize,
+    /// This instance's id among `peers`.
+    pub id: u64,
+    /// Every instance's address by id, as this one reaches it, this one's too; empty for one instance alone.
+    pub peers: BTreeMap<String, SocketAddr>,
 }
 
 impl Default for Config {
@@ -47,6 +55,8 @@
             grace_ms: 5_000,
             max_entries: 10_000,
             max_connections: 2_048,
+            id: 1,
+            peers: BTreeMap::new(),
         }
     }
 }
@@ -57,6 +67,8 @@
     Read(PathBuf, io::Error),
     #[error("{0}: {1}")]
     Toml(PathBuf, toml::de::Error),
+    #[error("peers: {0}")]
+    Peers(String),
 }
 
 impl Config {
@@ -78,9 +90,31 @@
         if let Some(data) = &args.data {
             config.data = data.clone();
         }
+        if let Some(id) = args.id {
+            config.id = id;
+        }
         Ok(config)
     }
 
+    /// Every instance's address by id; this one alone where no peers are named.
+    ///
+    /// # Errors
+    /// [`ConfigError::Peers`] where an id is no number or this instance is not among them.
+    pub fn members(&self) -> Result<BTreeMap<u64, SocketAddr>, ConfigError> {
+        if self.peers.is_empty() {
+            return Ok(BTreeMap::from([(self.id, self.listen)]));
+        }
+        let mut members = BTreeMap::new();
+        for (id, addr) in &self.peers {
+            let id = id.parse().map_err(|_| ConfigError::Peers(format!("{id:?} is no id")))?;
+            members.insert(id, *addr);
+        }
+        if !members.contains_key(&self.id) {
+            return Err(ConfigError::Peers(format!("{} is not among them", self.id)));
+        }
+        Ok(members)
+    }
+
     pub fn limits(&self) -> Limits {
         Limits { retain: self.retain, grace_ms: self.grace_ms, max_entries: self.max_entries }
     }
--- a/src/bin/listd/http.rs
+++ b/src/bin/listd/http.rs
@@ -1,13 +1,16 @@
 //! The service over HTTP/1.1 and JSON: discovery's list and watch, registrations, heartbeats and deletes.
 
 use crate::node::{Node, WriteError};
-use crate::store::{Command, Member, StoreError};
+use crate::peers::MAX_RAFT_BODY;
+use crate::store::{Command, Member, Outcome, StoreError};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,28 +33,42 @@
     let (parts, body) = request.into_parts();
     let path = parts.uri.path().to_owned();
     let query = parts.uri.query().unwrap_or_default().to_owned();
-    let body = match Limited::new(body, MAX_BODY).collect().await {
+    let most = if path.starts_with("/raft/") { MAX_RAFT_BODY } else { MAX_BODY };
+    let body = match Limited::new(body, most).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
-            return plain(StatusCode::PAYLOAD_TOO_LARGE, "over 64 KiB");
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         }
         Err(_) => return plain(StatusCode::BAD_REQUEST, "the body broke"),
     };
     let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     match (&parts.method, segments.as_slice()) {
         (&Method::GET, ["registry", "instances"]) => list(&node, &query).await,
-        (&Method::PUT, ["registry", "instances", id]) => register(&node, id, &body),
+        (&Method::PUT, ["registry", "instances", id]) => register(&node, id, &body).await,
         (&Method::DELETE, ["registry", "instances", id]) => {
-            written(node.write(&Command::Delete { id: (*id).to_owned() }))
+            written(node.write(Command::Delete { id: (*id).to_owned() }).await)
         }
         (&Method::PUT, ["registry", "leases", id]) => {
-            written(node.write(&Command::Beat { id: (*id).to_owned(), now_ms: node.now_ms() }))
+            written(node.write(Command::Beat { id: (*id).to_owned(), now_ms: node.now_ms() }).await)
         }
+        (&Method::POST, ["raft", "append"]) => rpc(&body, |rpc| node.raft.append_entries(rpc)).await,
+        (&Method::POST, ["raft", "vote"]) => rpc(&body, |rpc| node.raft.vote(rpc)).await,
+        (&Method::POST, ["raft", "snapshot"]) => rpc(&body, |rpc| node.raft.install_snapshot(rpc)).await,
         (_, ["registry", ..]) => plain(StatusCode::METHOD_NOT_ALLOWED, "no such call"),
         _ => plain(StatusCode::NOT_FOUND, "no such path"),
     }
 }
 
+/// A call of raft from a peer: its request in JSON, raft's result in JSON.
+async fn rpc<Q: DeserializeOwned, A: Serialize, F: Future<Output = A>>(
+    body: &[u8], call: impl FnOnce(Q) -> F,
+) -> Response<Full<Bytes>> {
+    match serde_json::from_slice(body) {
+        Ok(request) => json(serde_json::to_vec(&call(request).await).unwrap_or_default()),
+        Err(error) => plain(StatusCode::BAD_REQUEST, &format!("no call of raft: {error}")),
+    }
+}
+
 async fn list(node: &Node, query: &str) -> Response<Full<Bytes>> {
     let (mut index, mut wait) = (None, None);
     for pair in query.split('&').filter(|pair| !pair.is_empty()) {
@@ -63,20 +80,27 @@
             _ => return plain(StatusCode::BAD_REQUEST, "the query takes index and wait in numbers"),
         }
     }
+    // Guards against a list that can't change any more being served as current by a cut-off minority.
+    if !node.has_leader() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "no leader is known here");
+    }
     let answer = match (index, wait) {
         (Some(index), Some(wait)) => node.watch(index, wait).await,
         (index, _) => node.read(index),
     };
     match answer {
-        Ok(json) => Response::builder()
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(json)))
-            .unwrap_or_else(|_| plain(StatusCode::INTERNAL_SERVER_ERROR, "no answer")),
+        Ok(list) => json(list),
         Err(error) => refused(&error),
     }
 }
 
-fn register(node: &Node, id: &str, body: &[u8]) -> Response<Full<Bytes>> {
+fn json(body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    response
+}
+
+async fn register(node: &Node, id: &str, body: &[u8]) -> Response<Full<Bytes>> {
     let registration: Registration = match serde_json::from_slice(body) {
         Ok(registration) => registration,
         Err(error) => return plain(StatusCode::BAD_REQUEST, &format!("no registration: {error}")),
@@ -86,16 +110,25 @@
     }
     let command =
         Command::Put { member: registration.member, ttl_ms: registration.ttl_ms, now_ms: node.now_ms() };
-    written(node.write(&command))
+    written(node.write(command).await)
 }
 
-fn written(outcome: Result<crate::store::Outcome, WriteError>) -> Response<Full<Bytes>> {
+fn written(outcome: Result<Outcome, WriteError>) -> Response<Full<Bytes>> {
     match outcome {
         Ok(outcome) => plain(StatusCode::OK, &format!("{{\"revision\":{}}}", outcome.revision)),
         Err(WriteError::Refused(error)) => refused(&error),
-        Err(WriteError::Disk(error)) => {
-            tracing::error!(%error, "a write could not be kept");
-            plain(StatusCode::INTERNAL_SERVER_ERROR, "the write could not be kept")
+        Err(WriteError::NotLeader(leader)) => {
+            let mut response = plain(StatusCode::MISDIRECTED_REQUEST, "writes go to the leader");
+            if let Some(value) =
+                leader.and_then(|addr| hyper::header::HeaderValue::from_str(&addr.to_string()).ok())
+            {
+                response.headers_mut().insert("X-Leader", value);
+            }
+            response
+        }
+        Err(WriteError::Raft(error)) => {
+            tracing::warn!(%error, "a write was not committed");
+            plain(StatusCode::SERVICE_UNAVAILABLE, "the write was not committed; it may be later")
         }
     }
 }
--- a/src/bin/listd/main.rs
+++ b/src/bin/listd/main.rs
@@ -4,6 +4,8 @@
 mod durable;
 mod http;
 mod node;
+mod peers;
+mod replica;
 mod store;
 
 use clap::Parser;
@@ -15,7 +17,6 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
-use store::Command;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 
@@ -51,14 +52,17 @@
 }
 
 async fn run(config: Config) -> Result<(), Box<dyn std::error::Error>> {
-    let node = Arc::new(Node::open(&config.data, config.limits())?);
     let listener = TcpListener::bind(config.listen).await?;
-    tracing::info!(listen = %listener.local_addr()?, data = %config.data.display(), "serving");
-    let expiry = tokio::spawn(expire(node.clone()));
+    let node = Arc::new(Node::start(config.id, config.members()?, &config.data, config.limits()).await?);
+    tracing::info!(listen = %listener.local_addr()?, id = config.id, data = %config.data.display(), "serving");
+    let lead = node.clone();
+    let raft = node.raft.wait(None);
     tokio::select! {
         result = accept(listener, node.clone(), config.max_connections) => result,
-        result = expiry => Err(format!("leases: {result:?}").into()),
-        () = node.failed() => Err("the disk failed; memory is ahead of it".into()),
+        () = lead.lead(EXPIRY_TICK) => Ok(()),
+        fatal = raft.state(openraft::ServerState::Shutdown, "raft") => {
+            Err(format!("raft stopped: {fatal:?}").into())
+        }
     }
 }
 
@@ -83,15 +87,3 @@
         });
     }
 }
-
-/// Tombstones the entries whose lease lapsed past the grace.
-async fn expire(node: Arc<Node>) {
-    let mut tick = tokio::time::interval(EXPIRY_TICK);
-    loop {
-        tick.tick().await;
-        if node.due() {
-            // A failing disk stops the instance through `failed`.
-            let _ = node.write(&Command::Expire { now_ms: node.now_ms() });
-        }
-    }
-}
--- a/src/bin/listd/store.rs
+++ b/src/bin/listd/store.rs
@@ -80,10 +80,36 @@
     pub dropped: Vec<String>,
 }
 
-#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+/// The part of an entry that can't be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Field {
+    Id,
+    HostPort,
+    Names,
+    Phase,
+    Size,
+    Ttl,
+}
+
+impl std::fmt::Display for Field {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let name = match self {
+            Field::Id => "id",
+            Field::HostPort => "host_port",
+            Field::Names => "locality or flavor",
+            Field::Phase => "phase",
+            Field::Size => "size",
+            Field::Ttl => "ttl_ms",
+        };
+        f.write_str(name)
+    }
+}
+
+/// Why a write or read is refused. Replicated as a write's answer, so it has a serial form.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
 pub enum StoreError {
     #[error("the entry is malformed: {0}")]
-    Malformed(&'static str),
+    Malformed(Field),
     #[error("no such entry or lease")]
     Unknown,
     #[error("the list is full: {0} entries")]
@@ -193,7 +219,7 @@
             Command::Put { member, ttl_ms, .. } => {
                 check_member(member)?;
                 if ttl_ms.is_some_and(|ttl| !(MIN_TTL_MS..=MAX_TTL_MS).contains(&ttl)) {
-                    return Err(StoreError::Malformed("ttl_ms"));
+                    return Err(StoreError::Malformed(Field::Ttl));
                 }
                 if !self.entries.contains_key(&member.id) && self.entries.len() >= self.limits.max_entries {
                     return Err(StoreError::Full(self.limits.max_entries));
@@ -286,6 +312,11 @@
         dropped
     }
 
+    /// Every entry in its held form, tombstones too, for the disk.
+    pub fn all(&self) -> impl Iterator<Item = (&str, &Held)> {
+        self.entries.iter().map(|(id, held)| (id.as_str(), held))
+    }
+
     /// The held form of an entry, for the disk.
     pub fn held(&self, id: &str) -> Option<&Held> {
         self.entries.get(id)
@@ -321,19 +352,19 @@
 fn check_member(member: &Member) -> Result<(), StoreError> {
     let id_ok = !member.id.is_empty() && member.id.len() <= MAX_ID && !member.id.contains(['/', '?', '#']);
     if !id_ok {
-        return Err(StoreError::Malformed("id"));
+        return Err(StoreError::Malformed(Field::Id));
     }
     if member.host_port.parse::<SocketAddr>().is_err() {
-        return Err(StoreError::Malformed("host_port"));
+        return Err(StoreError::Malformed(Field::HostPort));
     }
     if member.locality.len() > MAX_NAME || member.flavor.len() > MAX_NAME {
-        return Err(StoreError::Malformed("locality or flavor"));
+        return Err(StoreError::Malformed(Field::Names));
     }
     if member.phase == Phase::Gone {
-        return Err(StoreError::Malformed("phase"));
+        return Err(StoreError::Malformed(Field::Phase));
     }
     if !member.size.is_finite() || member.size < 0.0 {
-        return Err(StoreError::Malformed("size"));
+        return Err(StoreError::Malformed(Field::Size));
     }
     Ok(())
 }
--- a/src/bin/listd/store_tests.rs
+++ b/src/bin/listd/store_tests.rs
@@ -96,14 +96,14 @@
         Command::Put { member, ttl_ms: None, now_ms: 0 }
     };
     for (command, error) in [
-        (bad(|m| m.id.clear()), StoreError::Malformed("id")),
-        (bad(|m| m.id = "a/b".into()), StoreError::Malformed("id")),
-        (bad(|m| m.host_port = "nowhere".into()), StoreError::Malformed("host_port")),
-        (bad(|m| m.phase = Phase::Gone), StoreError::Malformed("phase")),
-        (bad(|m| m.size = f64::NAN), StoreError::Malformed("size")),
+        (bad(|m| m.id.clear()), StoreError::Malformed(Field::Id)),
+        (bad(|m| m.id = "a/b".into()), StoreError::Malformed(Field::Id)),
+        (bad(|m| m.host_port = "nowhere".into()), StoreError::Malformed(Field::HostPort)),
+        (bad(|m| m.phase = Phase::Gone), StoreError::Malformed(Field::Phase)),
+        (bad(|m| m.size = f64::NAN), StoreError::Malformed(Field::Size)),
         (
             Command::Put { member: member("x", Phase::Ready), ttl_ms: Some(5), now_ms: 0 },
-            StoreError::Malformed("ttl_ms"),
+            StoreError::Malformed(Field::Ttl),
         ),
         (Command::Beat { id: "a".into(), now_ms: 0 }, StoreError::Unknown),
         (Command::Delete { id: "z".into() }, StoreError::Unknown),
--- /dev/null
+++ b/tests/cluster/mod.rs
@@ -0,0 +1,180 @@
+//! Processes of the list service for tests, and a fault proxy to put between them.
+#![allow(dead_code)]
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+/// Wide, for a loaded machine: each wait ends as soon as its condition holds.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One process of `listd`.
+pub struct Listd {
+    child: Child,
+    pub addr: SocketAddr,
+}
+
+/// A port that was free a moment ago.
+pub fn free_port() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+}
+
+impl Listd {
+    /// Starts an instance on a free port; `extra` are more arguments.
+    pub fn start(data: &Path, config: &Path, extra: &[&str]) -> Listd {
+        Listd::start_at(free_port(), data, config, extra)
+    }
+
+    /// Starts an instance at `addr`; returns once it listens.
+    /// Its log goes to a file beside its data, left for a look where the test fails.
+    pub fn start_at(addr: SocketAddr, data: &Path, config: &Path, extra: &[&str]) -> Listd {
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(data.with_extension("log"));
+        let child = Command::new(env!("CARGO_BIN_EXE_listd"))
+            .args(["--listen", &addr.to_string(), "--data"])
+            .arg(data)
+            .arg("--config")
+            .arg(config)
+            .args(extra)
+            .stderr(log.map_or_else(|_| Stdio::null(), Stdio::from))
+            .spawn()
+            .expect("listd starts");
+        let listd = Listd { child, addr };
+        listd.until("no answer", |listd| listd.try_call("GET", "/registry/instances", "").is_some());
+        listd
+    }
+
+    /// Whether it serves the list: it knows a leader.
+    pub fn serves(&self) -> bool {
+        self.try_call("GET", "/registry/instances", "").is_some_and(|(status, _, _)| status == 200)
+    }
+
+    /// Waits for `done`, polling; panics with `what` after [`PATIENCE`].
+    pub fn until(&self, what: &str, done: impl Fn(&Listd) -> bool) {
+        let began = Instant::now();
+        while !done(self) {
+            assert!(began.elapsed() < PATIENCE, "{what} at {}", self.addr);
+            sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// A call on a connection of its own; `None` where the connection failed.
+    pub fn try_call(&self, method: &str, path: &str, body: &str) -> Option<(u16, String, Option<String>)> {
+        let mut stream = TcpStream::connect(self.addr).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nHost: listd\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body.as_bytes())).ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        let status = answer.get(9..12).and_then(|code| code.parse().ok())?;
+        let (head, body) = answer.split_once("\r\n\r\n")?;
+        let leader = head.lines().find_map(|line| {
+            let (name, value) = line.split_once(':')?;
+            name.eq_ignore_ascii_case("x-leader").then(|| value.trim().to_owned())
+        });
+        Some((status, body.to_owned(), leader))
+    }
+
+    pub fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        let (status, body, _) = self.try_call(method, path, body).expect("an answer");
+        (status, body)
+    }
+
+    /// SIGKILL, and the process reaped.
+    pub fn kill(mut self) {
+        self.child.kill().expect("SIGKILL");
+        self.child.wait().expect("reaped");
+    }
+}
+
+impl Drop for Listd {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A proxy in front of one address: passes bytes both ways until it is cut, then closes what it carries and
+/// each newcomer at once.
+pub struct Proxy {
+    pub addr: SocketAddr,
+    cut: Arc<AtomicBool>,
+    carried: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Proxy {
+    pub fn new(to: SocketAddr) -> Proxy {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a proxy's port");
+        let addr = listener.local_addr().expect("an address");
+        let cut = Arc::new(AtomicBool::new(false));
+        let carried = Arc::new(Mutex::new(Vec::new()));
+        let (is_cut, held) = (cut.clone(), carried.clone());
+        // The thread ends with the test's process.
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let upstream = match TcpStream::connect(to) {
+                    Ok(upstream) if !is_cut.load(Ordering::SeqCst) => upstream,
+                    _ => continue,
+                };
+                for stream in [&client, &upstream] {
+                    if let Ok(stream) = stream.try_clone() {
+                        held.lock().expect("not poisoned").push(stream);
+                    }
+                }
+                pipe(&client, &upstream);
+                pipe(&upstream, &client);
+            }
+        });
+        Proxy { addr, cut, carried }
+    }
+
+    /// Cuts or mends the way through.
+    pub fn cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+        if cut {
+            for stream in self.carried.lock().expect("not poisoned").drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+}
+
+fn pipe(from: &TcpStream, to: &TcpStream) {
+    let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else { return };
+    thread::spawn(move || {
+        let _ = std::io::copy(&mut from, &mut to);
+        let _ = to.shutdown(Shutdown::Write);
+    });
+}
+
+/// A registration in the service's form.
+pub fn entry(id: &str, ttl_ms: Option<u64>) -> String {
+    let ttl = ttl_ms.map(|ttl| format!(",\"ttl_ms\":{ttl}")).unwrap_or_default();
+    format!(
+        r#"{{"id":"{id}","host_port":"127.0.0.1:9001","locality":"a","flavor":"m2","cell":1,"phase":"Ready","size":1.0,"up_since_ms":0{ttl}}}"#
+    )
+}
+
+pub fn revision(body: &str) -> u64 {
+    let json: serde_json::Value = serde_json::from_str(body).expect("JSON");
+    json["revision"].as_u64().expect("a revision")
+}
+
+/// The ids and phases of a list, as `id:phase`, sorted as text.
+pub fn ids(body: &str) -> Vec<String> {
+    let json: serde_json::Value = serde_json::from_str(body).expect("JSON");
+    let members = json["members"].as_array().expect("members");
+    let mut ids: Vec<String> = members
+        .iter()
+        .map(|m| format!("{}:{}", m["id"].as_str().unwrap_or(""), m["phase"].as_str().unwrap_or("")))
+        .collect();
+    ids.sort();
+    ids
+}
