Let the sidecar watch the list service's instances, with jittered backoff

After a failure, a 503 of an instance without a leader, or a list older than the one held, it moves to the next and waits with full jitter under a bound that doubles from 100 ms to 5 s, so that 300 sidecars do not come back in one wave.

--- a/src/bin/juniperspoke/config.rs
+++ b/src/bin/juniperspoke/config.rs
@@ -28,6 +28,9 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The instances of a replicated list service, where the configuration names them; empty for the
+    /// platform's one discovery.
+    pub discovery_peers: Vec<SocketAddr>,
     /// Where operators call; `None` where there is no door for them.
     pub control: Option<SocketAddr>,
     pub seed: u64,
@@ -62,6 +65,13 @@
             name: text("name", "BALANCER_NAME"),
             listen: addr("listen", "BALANCER_LISTEN")?,
             discovery: addr("discovery", "BALANCER_DISCOVERY")?,
+            discovery_peers: match json["discovery_peers"].as_array() {
+                None => Vec::new(),
+                Some(peers) => peers
+                    .iter()
+                    .map(|peer| parse_addr("discovery_peers", peer.as_str().unwrap_or_default().to_owned()))
+                    .collect::<Result<_, _>>()?,
+            },
             control: match (env("BALANCER_CONTROL"), &json["control"]) {
                 (None, Value::Null) => None,
                 (Some(text), _) => Some(parse_addr("control", text)?),
@@ -165,6 +175,7 @@
             ("290.0", "\"soon\"", "requestClasses.0.aim"),
             ("{\"name\"", "{\"control\":\"door\",\"name\"", "control: cannot read \"door\""),
             ("{\"name\"", "{\"control\":12000,\"name\"", "control: cannot read \"12000\""),
+            ("{\"name\"", "{\"discovery_peers\":[\"x\"],\"name\"", "discovery_peers: cannot read \"x\""),
             ("{\"name\"", "{", "no JSON"),
         ] {
             let error = Config::read(&JSON.replacen(from, to, 1), |_| None).err().expect("an error");
--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -29,6 +29,11 @@
 /// The wait after a call that failed where discovery has moved and not answered yet: what it has to tell counts
 /// as told some seconds after the move, sooner than the module would ask again.
 const MOVED_AGAIN: Duration = Duration::from_millis(250);
+/// Waits after failed calls to a replicated list service, full jitter within a bound that doubles from the first
+/// to the last: 300 sidecars that lost it come back spread over seconds, not in one wave, and each is back within
+/// 5 s of its return.
+const PEER_BACKOFF: Duration = Duration::from_millis(100);
+const PEER_BACKOFF_MOST: Duration = Duration::from_secs(5);
 /// A list is larger than a request's body: some hundred bytes for each upstream.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
@@ -48,6 +53,8 @@
     Json(#[from] serde_json::Error),
     #[error("the list has no {0}")]
     Form(&'static str),
+    #[error("an instance behind: revision {0} where {1} is held")]
+    Behind(u64, u64),
 }
 
 /// One answer of discovery.
@@ -121,9 +128,40 @@
     }
 }
 
+/// The instances of a replicated list service, asked in turn: the next one after a failure, or after an answer
+/// older than the list held. Each sidecar begins at a random one, so that the fleet's calls are spread.
+struct Instances {
+    all: Vec<SocketAddr>,
+    at: usize,
+    rng: fastrand::Rng,
+    backoff: Duration,
+}
+
+impl Instances {
+    fn new(all: Vec<SocketAddr>, seed: u64) -> Option<Instances> {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let at = rng.usize(..all.len().max(1));
+        (!all.is_empty()).then_some(Instances { all, at, rng, backoff: PEER_BACKOFF })
+    }
+
+    fn current(&self) -> SocketAddr {
+        self.all[self.at]
+    }
+
+    /// Moves to the next instance and answers how long to wait before asking it.
+    fn failed(&mut self) -> Duration {
+        self.at = (self.at + 1) % self.all.len();
+        let wait = self.backoff.mul_f64(self.rng.f64());
+        self.backoff = (self.backoff * 2).min(PEER_BACKOFF_MOST);
+        wait
+    }
+}
+
 /// Follows the list for good. Where discovery is asked, a watch begins when the module subscribes.
 /// The first one goes on from the known list, if there is one. When discovery moves, the whole list is asked
-/// for at once, since it may count anew at its new address.
+/// for at once, since it may count anew at its new address. Where the configuration names the instances of a
+/// replicated list service, they are asked instead, and a list older than the one held is never taken: they all
+/// count alike, and one that is behind has not yet applied what another told.
 pub async fn follow(
     config: Arc<Config>, mut at: watch::Receiver<SocketAddr>, known: Option<u64>, subscribe: Arc<Notify>,
     driver: Handle,
@@ -133,7 +171,11 @@
         if asked { (WATCH_ASKED, PATIENCE_ASKED) } else { (WATCH_PUSHED, PATIENCE_PUSHED) };
     let (mut held, mut backoff, mut connection, mut has_moved) = (known, BACKOFF, None, false);
     let mut pause = asked.then_some(Pause::TillSubscribed);
+    let mut instances = Instances::new(config.discovery_peers.clone(), config.seed);
     let mut addr = *at.borrow_and_update();
+    if let Some(instances) = &instances {
+        addr = instances.current();
+    }
     loop {
         let next = async {
             match &pause {
@@ -156,11 +198,20 @@
             answered = next => answered,
         };
         pause = None;
+        let answer = answer.and_then(|news| match held {
+            Some(held) if instances.is_some() && news.revision < held => {
+                Err(DiscoveryError::Behind(news.revision, held))
+            }
+            _ => Ok(news),
+        });
         match answer {
             // Guards against changes to a list other than the one held: the whole list is asked for.
             Ok(news) if !news.complete && held.is_some_and(|held| news.revision < held) => held = None,
             // A whole list counts whatever its number: discovery may have begun to count anew.
             Ok(news) => {
+                if let Some(instances) = &mut instances {
+                    instances.backoff = PEER_BACKOFF;
+                }
                 let nothing_new = held == Some(news.revision) && called.elapsed() < BACKOFF_MOST;
                 (held, backoff, has_moved) = (Some(news.revision), BACKOFF, false);
                 driver.tell(Happening::List(news));
@@ -182,6 +233,13 @@
                     (false, _) => Pause::For(backoff),
                 });
                 backoff = (backoff * 2).min(BACKOFF_MOST);
+                if let Some(instances) = &mut instances {
+                    let wait = instances.failed();
+                    addr = instances.current();
+                    if !asked {
+                        pause = Some(Pause::For(wait));
+                    }
+                }
             }
         }
     }
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -3,93 +3,12 @@
 
 mod cluster;
 
-use cluster::{Listd, Proxy, entry, free_port, ids, revision};
-use std::path::{Path, PathBuf};
-use std::time::{Duration, Instant};
-
-/// The design's bound for a new leader is 1.5 s; this is wide for a loaded machine.
-const NEW_LEADER: Duration = Duration::from_secs(6);
+use cluster::{Cluster, Listd, NEW_LEADER, entry, ids, revision};
+use std::time::Instant;
 /// Writes in the stream, and after how many the leader is killed.
 const WRITES: usize = 40;
 const KILLED_AFTER: usize = 15;
 
-struct Cluster {
-    dir: PathBuf,
-    addrs: Vec<std::net::SocketAddr>,
-    /// `proxies[from][to]`: the way from one instance to another; none from one to itself.
-    proxies: Vec<Vec<Option<Proxy>>>,
-    nodes: Vec<Option<Listd>>,
-}
-
-impl Cluster {
-    fn new(dir: &Path) -> Cluster {
-        std::fs::create_dir_all(dir).expect("a folder");
-        let addrs: Vec<_> = (0..3).map(|_| free_port()).collect();
-        let proxies: Vec<Vec<_>> = (0..3)
-            .map(|from| (0..3).map(|to| (from != to).then(|| Proxy::new(addrs[to]))).collect())
-            .collect();
-        for (from, ways) in proxies.iter().enumerate() {
-            let peers: String = ways
-                .iter()
-                .enumerate()
-                .map(|(to, way)| {
-                    format!("\"{}\" = \"{}\"\n", to + 1, way.as_ref().map_or(addrs[to], |p| p.addr))
-                })
-                .collect();
-            std::fs::write(dir.join(format!("{from}.toml")), format!("[peers]\n{peers}"))
-                .expect("a configuration");
-        }
-        let mut cluster = Cluster { dir: dir.to_owned(), addrs, proxies, nodes: vec![None, None, None] };
-        (0..3).for_each(|i| cluster.start(i));
-        cluster
-    }
-
-    /// Cuts or mends both ways between one instance and the others.
-    fn cut(&self, i: usize, cut: bool) {
-        for (from, ways) in self.proxies.iter().enumerate() {
-            for (to, way) in ways.iter().enumerate() {
-                if let Some(way) = way.as_ref().filter(|_| from == i || to == i) {
-                    way.cut(cut);
-                }
-            }
-        }
-    }
-
-    fn start(&mut self, i: usize) {
-        let (data, config) = (self.dir.join(format!("{i}.redb")), self.dir.join(format!("{i}.toml")));
-        let id = (i + 1).to_string();
-        self.nodes[i] = Some(Listd::start_at(self.addrs[i], &data, &config, &["--id", &id]));
-    }
-
-    fn node(&self, i: usize) -> &Listd {
-        self.nodes[i].as_ref().expect("running")
-    }
-
-    /// Writes through whichever instance leads, following `X-Leader`; `None` where no leader took it in time.
-    fn write(&self, method: &str, path: &str, body: &str, within: Duration) -> Option<(usize, u64)> {
-        let began = Instant::now();
-        let mut at = (0..3).find(|&i| self.nodes[i].is_some())?;
-        while began.elapsed() < within {
-            match self.nodes[at].as_ref().and_then(|node| node.try_call(method, path, body)) {
-                Some((200, body, _)) => return Some((at, revision(&body))),
-                Some((421, _, Some(leader))) => {
-                    // The leader as the instance asked reaches it.
-                    let way = |p: &Option<Proxy>| p.as_ref().is_some_and(|p| p.addr.to_string() == leader);
-                    at = self.proxies[at].iter().position(way).unwrap_or(at);
-                    if self.nodes[at].is_none() {
-                        at = (at + 1) % 3;
-                    }
-                }
-                _ => {
-                    at = (at + 1) % 3;
-                    std::thread::sleep(Duration::from_millis(20));
-                }
-            }
-        }
-        None
-    }
-}
-
 #[test]
 fn three_instances_keep_what_was_acknowledged_through_a_kill_a_cut_and_a_restart_of_all() {
     let dir = std::env::temp_dir().join(format!("listd-raft-{}", std::process::id()));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -530,7 +530,8 @@
             line.split_once("listening on ")?.1.parse().ok()
         });
         thread::spawn(move || log.for_each(drop));
-        let asked = config["settings"]["discovery"] != "pushed";
+        // A sidecar that watches the list service calls the test's discovery never.
+        let asked = config["settings"]["discovery"] != "pushed" || config.get("discovery_peers").is_some();
         let sidecar = Sidecar { process, addr: addr.expect("it listens"), control, discovery, config, dir };
         sidecar.wait_until("readiness", |sidecar| sidecar.ready() == 200);
         if !asked {
