Compare a list service's revision with the last taken, and prove the fleet's spread

A sidecar whose known list came from another discovery held a revision that the list service calls one from the future (400), and would have refused every whole list under it for good. The guard against a revision going backward now compares with the last revision taken from the service; a 400 makes the next call ask for the whole list; and where every instance in turn refused, the service has begun to count anew and its list is taken.

--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -53,7 +53,7 @@
     Json(#[from] serde_json::Error),
     #[error("the list has no {0}")]
     Form(&'static str),
-    #[error("an instance behind: revision {0} where {1} is held")]
+    #[error("an instance behind: revision {0} where {1} was taken")]
     Behind(u64, u64),
 }
 
@@ -129,19 +129,40 @@
 }
 
 /// The instances of a replicated list service, asked in turn: the next one after a failure, or after an answer
-/// older than the list held. Each sidecar begins at a random one, so that the fleet's calls are spread.
+/// older than the list taken. Each sidecar begins at a random one, so that the fleet's calls are spread.
 struct Instances {
     all: Vec<SocketAddr>,
     at: usize,
     rng: fastrand::Rng,
     backoff: Duration,
+    /// The revision last taken from the service; the known list of the start may count otherwise.
+    floor: Option<u64>,
+    /// Answers in a row that were behind the floor or called the revision asked for one from the future.
+    refusals: usize,
 }
 
 impl Instances {
     fn new(all: Vec<SocketAddr>, seed: u64) -> Option<Instances> {
         let mut rng = fastrand::Rng::with_seed(seed);
         let at = rng.usize(..all.len().max(1));
-        (!all.is_empty()).then_some(Instances { all, at, rng, backoff: PEER_BACKOFF })
+        (!all.is_empty()).then_some(Instances {
+            all,
+            at,
+            rng,
+            backoff: PEER_BACKOFF,
+            floor: None,
+            refusals: 0,
+        })
+    }
+
+    /// Whether a list of this revision may be taken: never one older than the last taken, unless each instance
+    /// in turn has refused what the sidecar holds, since then the service has begun to count anew.
+    fn takes(&self, revision: u64) -> bool {
+        self.floor.is_none_or(|floor| revision >= floor) || self.refusals >= self.all.len()
+    }
+
+    fn took(&mut self, revision: u64) {
+        (self.floor, self.refusals, self.backoff) = (Some(revision), 0, PEER_BACKOFF);
     }
 
     fn current(&self) -> SocketAddr {
@@ -198,9 +219,10 @@
             answered = next => answered,
         };
         pause = None;
-        let answer = answer.and_then(|news| match held {
-            Some(held) if instances.is_some() && news.revision < held => {
-                Err(DiscoveryError::Behind(news.revision, held))
+        let answer = answer.and_then(|news| match &mut instances {
+            Some(instances) if !instances.takes(news.revision) => {
+                instances.refusals += 1;
+                Err(DiscoveryError::Behind(news.revision, instances.floor.unwrap_or_default()))
             }
             _ => Ok(news),
         });
@@ -210,7 +232,7 @@
             // A whole list counts whatever its number: discovery may have begun to count anew.
             Ok(news) => {
                 if let Some(instances) = &mut instances {
-                    instances.backoff = PEER_BACKOFF;
+                    instances.took(news.revision);
                 }
                 let nothing_new = held == Some(news.revision) && called.elapsed() < BACKOFF_MOST;
                 (held, backoff, has_moved) = (Some(news.revision), BACKOFF, false);
@@ -234,6 +256,10 @@
                 });
                 backoff = (backoff * 2).min(BACKOFF_MOST);
                 if let Some(instances) = &mut instances {
+                    // The revision held is from the future there: the whole list is asked for.
+                    if matches!(error, DiscoveryError::Status(StatusCode::BAD_REQUEST)) {
+                        (held, instances.refusals) = (None, instances.refusals + 1);
+                    }
                     let wait = instances.failed();
                     addr = instances.current();
                     if !asked {
@@ -274,3 +300,45 @@
     }
     Ok(news)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn peers(count: u16) -> Vec<SocketAddr> {
+        (1..=count).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect()
+    }
+
+    #[test]
+    fn a_list_older_than_the_one_taken_is_refused_until_every_instance_has_said_so() {
+        let mut instances = Instances::new(peers(3), 1).expect("peers");
+        assert!(instances.takes(5), "the known list of the start may count otherwise");
+        instances.took(5);
+        assert!(instances.takes(5) && !instances.takes(4));
+        instances.refusals = 2;
+        assert!(!instances.takes(4), "two of three may be behind");
+        instances.refusals = 3;
+        assert!(instances.takes(4), "all three count anew");
+    }
+
+    /// 300 sidecars lose the service at once, and each asks the next instance after its backoff; every call
+    /// fails. Their calls come spread: from the third second on, at most one for each sidecar in any second and a
+    /// fifth of the fleet in any tenth of one, where without jitter all 300 would come at the same instants.
+    #[test]
+    fn a_fleet_that_lost_the_service_comes_back_spread_over_time() {
+        const FLEET: u64 = 300;
+        let mut calls_per_tenth = vec![0_u64; 200];
+        for seed in 0..FLEET {
+            let mut instances = Instances::new(peers(2), seed).expect("peers");
+            let mut at = Duration::ZERO;
+            while let Some(count) = calls_per_tenth.get_mut(at.as_millis() as usize / 100) {
+                *count += 1;
+                at += instances.failed();
+            }
+        }
+        let late = &calls_per_tenth[30..];
+        let most_in_a_second = late.windows(10).map(|second| second.iter().sum::<u64>()).max();
+        assert!(most_in_a_second.is_some_and(|most| most <= FLEET), "{most_in_a_second:?}");
+        assert!(late.iter().all(|&tenth| tenth <= FLEET / 5), "{late:?}");
+    }
+}
