Pause the leader with SIGSTOP in the replication test; writes bounded to 1 s a try

A paused leader is the case where a process comes back and believes it leads. The test pauses it past its election time-out: a new leader takes the next write, and the resumed one steps down and serves the same list and revision as the others.

--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -12,6 +12,8 @@
 
 /// Wide, for a loaded machine: each wait ends as soon as its condition holds.
 pub const PATIENCE: Duration = Duration::from_secs(20);
+/// A write is committed by a quorum in some ms; one that takes longer is tried elsewhere.
+pub const WRITE: Duration = Duration::from_secs(1);
 /// The design's bound for a new leader is 1.5 s; this is wide for a loaded machine.
 pub const NEW_LEADER: Duration = Duration::from_secs(6);
 
@@ -66,8 +68,15 @@
 
     /// A call on a connection of its own; `None` where the connection failed.
     pub fn try_call(&self, method: &str, path: &str, body: &str) -> Option<(u16, String, Option<String>)> {
+        self.call_within(method, path, body, PATIENCE)
+    }
+
+    /// A call whose answer must come within `patience`; `None` where it failed or came late.
+    pub fn call_within(
+        &self, method: &str, path: &str, body: &str, patience: Duration,
+    ) -> Option<(u16, String, Option<String>)> {
         let mut stream = TcpStream::connect(self.addr).ok()?;
-        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        stream.set_read_timeout(Some(patience)).ok()?;
         let head = format!(
             "{method} {path} HTTP/1.1\r\nHost: listd\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
             body.len()
@@ -89,6 +98,13 @@
         (status, body)
     }
 
+    /// Pauses (SIGSTOP) or resumes (SIGCONT) the process.
+    pub fn pause(&self, paused: bool) {
+        let signal = if paused { "-STOP" } else { "-CONT" };
+        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
+        assert!(status.is_ok_and(|status| status.success()), "kill {signal}");
+    }
+
     /// SIGKILL, and the process reaped.
     pub fn kill(mut self) {
         self.child.kill().expect("SIGKILL");
@@ -214,7 +230,9 @@
         let began = Instant::now();
         let mut at = (0..3).find(|&i| self.nodes[i].is_some())?;
         while began.elapsed() < within {
-            match self.nodes[at].as_ref().and_then(|node| node.try_call(method, path, body)) {
+            // A paused instance takes the connection and never answers.
+            let answer = self.nodes[at].as_ref().and_then(|node| node.call_within(method, path, body, WRITE));
+            match answer {
                 Some((200, body, _)) => return Some((at, revision(&body))),
                 Some((421, _, Some(leader))) => {
                     // The leader as the instance asked reaches it.
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -1,5 +1,5 @@
 //! Three instances of the list service with a fault proxy on each way between two: the leader killed under a
-//! stream of writes, a follower cut off both ways, and all three killed and started again.
+//! stream of writes, a follower cut off both ways, the leader paused, and all three killed and started again.
 
 mod cluster;
 
@@ -9,6 +9,16 @@
 const WRITES: usize = 40;
 const KILLED_AFTER: usize = 15;
 
+/// Whether an instance serves exactly this list at this revision.
+fn holds(wanted_revision: u64, wanted: &[String]) -> impl Fn(&Listd) -> bool {
+    let wanted = wanted.to_vec();
+    move |node| {
+        node.try_call("GET", "/registry/instances", "").is_some_and(|(status, body, _)| {
+            status == 200 && revision(&body) == wanted_revision && ids(&body) == wanted
+        })
+    }
+}
+
 #[test]
 fn three_instances_keep_what_was_acknowledged_through_a_kill_a_cut_and_a_restart_of_all() {
     let dir = std::env::temp_dir().join(format!("listd-raft-{}", std::process::id()));
@@ -35,12 +45,7 @@
     acknowledged.sort();
     let killed = (0..3).find(|&i| cluster.nodes[i].is_none()).expect("one was killed");
     cluster.start(killed);
-    let caught_up = |node: &Listd| {
-        node.try_call("GET", "/registry/instances", "").is_some_and(|(status, body, _)| {
-            status == 200 && revision(&body) == last_revision && ids(&body) == acknowledged
-        })
-    };
-    cluster.node(killed).until("the restarted one never caught up", caught_up);
+    cluster.node(killed).until("the restarted one never caught up", holds(last_revision, &acknowledged));
 
     // A follower cut off from its peers: it stops serving the list and refuses writes; the majority goes on.
     let (leader, _) = cluster.write("DELETE", "/registry/instances/s0", "", NEW_LEADER).expect("a leader");
@@ -54,21 +59,26 @@
     cluster.cut(cut, false);
     let left: Vec<String> =
         acknowledged.iter().filter(|id| !["s0:Ready", "s1:Ready"].contains(&id.as_str())).cloned().collect();
-    let whole_at = |revision_wanted: u64| {
-        let left = left.clone();
-        move |node: &Listd| {
-            node.try_call("GET", "/registry/instances", "").is_some_and(|(status, body, _)| {
-                status == 200 && revision(&body) == revision_wanted && ids(&body) == left
-            })
-        }
-    };
-    cluster.node(cut).until("the mended one never caught up", whole_at(revision_in_majority));
+    cluster.node(cut).until("the mended one never caught up", holds(revision_in_majority, &left));
+
+    // The leader paused past its election time-out: the others elect another and write on; resumed, it steps down
+    // and takes what was written meanwhile.
+    let (paused, _) = cluster.write("DELETE", "/registry/instances/s2", "", NEW_LEADER).expect("a leader");
+    cluster.node(paused).pause(true);
+    let (leader, revision_in_majority) =
+        cluster.write("DELETE", "/registry/instances/s3", "", NEW_LEADER).expect("a new leader");
+    assert_ne!(leader, paused, "a paused process acknowledges nothing");
+    cluster.node(paused).pause(false);
+    let left: Vec<String> =
+        left.into_iter().filter(|id| !["s2:Ready", "s3:Ready"].contains(&id.as_str())).collect();
+    cluster.node(paused).until("the resumed one never caught up", holds(revision_in_majority, &left));
 
     // All three killed at once and started again: the same revision and list come back from disk.
     (0..3).for_each(|i| cluster.nodes[i].take().expect("running").kill());
     (0..3).for_each(|i| cluster.start(i));
-    (0..3)
-        .for_each(|i| cluster.node(i).until("not the same after a restart", whole_at(revision_in_majority)));
+    (0..3).for_each(|i| {
+        cluster.node(i).until("not the same after a restart", holds(revision_in_majority, &left))
+    });
     drop(cluster);
     let _ = std::fs::remove_dir_all(&dir);
 }
