listd: one predicate for a lapsed lease, shared by the expiry and its check

The expiry in Command::Expire repeated the condition of Store::due inline, so the two could drift apart and a lease be judged lapsed by one and held by the other. Both now call one free function over the held entry, the grace and the time.

--- a/src/bin/listd/store.rs
+++ b/src/bin/listd/store.rs
@@ -203,11 +203,7 @@
     /// Whether some lease has lapsed past its grace by `now_ms`, so that an [`Command::Expire`] would change
     /// something.
     pub fn due(&self, now_ms: u64) -> bool {
-        self.entries.values().any(|held| self.lapsed(held, now_ms))
-    }
-
-    fn lapsed(&self, held: &Held, now_ms: u64) -> bool {
-        held.lease.as_ref().is_some_and(|lease| now_ms > lease.deadline_ms + self.limits.grace_ms)
+        self.entries.values().any(|held| lapsed(held, self.limits.grace_ms, now_ms))
     }
 
     /// Checks a command without applying it, so that what is refused never reaches a replicated log.
@@ -274,7 +270,7 @@
             Command::Expire { now_ms } => {
                 let grace = self.limits.grace_ms;
                 for (id, held) in &mut self.entries {
-                    if held.lease.as_ref().is_some_and(|lease| *now_ms > lease.deadline_ms + grace) {
+                    if lapsed(held, grace, *now_ms) {
                         tombstone(held, next);
                         written.push(id.clone());
                     }
@@ -343,6 +339,11 @@
     }
 }
 
+/// Whether the lease of `held` lapsed more than `grace_ms` before `now_ms`. An entry without a lease never lapses.
+fn lapsed(held: &Held, grace_ms: u64, now_ms: u64) -> bool {
+    held.lease.as_ref().is_some_and(|lease| now_ms > lease.deadline_ms + grace_ms)
+}
+
 fn tombstone(held: &mut Held, revision: u64) {
     held.member.phase = Phase::Gone;
     held.modified = revision;
