Measure a change's reach and the calls of fleets of 10, 100, 300 sidecars

The issue asks for the time from a change to the last of N sidecars (p50, p99) and for the calls a second at the service against today's discovery. An ignored test in tests/fleet.rs makes 20 changes a fleet and records, with hdrhistogram (a dev-dependency: latency quantiles without a home-made histogram), the time from sending a change to its answer leaving the proxy, for the last sidecar and for each; then the calls a second in steady state, watching the service and summed over sidecars that follow agents of their own as today.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -6,6 +6,7 @@
 mod world;
 
 use cluster::{Cluster, Fault, Proxy};
+use hdrhistogram::Histogram;
 use serde_json::json;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -44,15 +45,16 @@
     }
 
     /// Registers an upstream anew, a change of the list that the proxies await from before it is made; answers
-    /// when it was acknowledged.
+    /// when it was sent.
     fn change(&self, upstream: &Upstream, phase: &str, revision: &mut u64) -> Instant {
         *revision += 1;
         self.proxies.iter().for_each(|proxy| proxy.await_text(&format!("\"revision\":{revision},")));
         let line = upstream.line(phase);
         let path = format!("/registry/instances/{}", line["id"].as_str().expect("an id"));
+        let sent = Instant::now();
         let written = self.cluster.write("PUT", &path, &line.to_string(), cluster::NEW_LEADER);
         assert_eq!(written.map(|(_, at)| at), Some(*revision), "a leader took the change");
-        Instant::now()
+        sent
     }
 
     /// Waits until `sidecars` connections through these proxies were answered with the awaited revision; answers
@@ -131,3 +133,56 @@
     drop(front);
     let _ = std::fs::remove_dir_all(&dir);
 }
+
+/// Figures of the issue, not a check: run with `cargo test --release --test fleet -- --ignored --nocapture`.
+/// For fleets of 10, 100 and 300: the time from sending a change to the last sidecar and to each
+/// sidecar that took it (p50, p99 over 20 changes), and the calls a second in steady state, at the service for
+/// sidecars that watch it and summed over the address discovery of sidecars that follow one each, as today.
+#[test]
+#[ignore = "a measurement that takes a minute"]
+fn measure_the_reach_of_a_change_and_the_calls_of_a_fleet() {
+    const CHANGES: usize = 20;
+    for size in [10, 100, 300] {
+        let dir = std::env::temp_dir().join(format!("listd-measure-{}-{size}", std::process::id()));
+        let front = Front::new(&dir);
+        let upstream = Upstream::start(|_| Reply::text(200, "", "served"));
+        let mut revision = 0;
+        front.change(&upstream, "Ready", &mut revision);
+        let sidecars = fleet(&front, &upstream, size);
+        let all: Vec<&Proxy> = front.proxies.iter().collect();
+        let (mut last, mut each) =
+            (Histogram::<u64>::new(3).expect("a histogram"), Histogram::new(3).expect("a histogram"));
+        for change in 0..CHANGES {
+            let phase = if change % 2 == 0 { "Terminating" } else { "Ready" };
+            let sent = front.change(&upstream, phase, &mut revision);
+            let reached = Front::reached(&all, size).expect("each sidecar took the change");
+            let micros = |at: Instant| at.saturating_duration_since(sent).as_micros() as u64;
+            last.record(micros(reached)).expect("in range");
+            for proxy in &all {
+                proxy.sightings().into_iter().for_each(|at| each.record(micros(at)).expect("in range"));
+            }
+            thread::sleep(Duration::from_millis(300));
+        }
+        let (before, began) = (front.requests(), Instant::now());
+        thread::sleep(Duration::from_secs(6));
+        let watching = (front.requests() - before) as f64 / began.elapsed().as_secs_f64();
+        drop(sidecars);
+        drop(front);
+        let _ = std::fs::remove_dir_all(&dir);
+
+        let today: Vec<Sidecar> = (0..size).map(|_| Sidecar::start(&[&upstream])).collect();
+        let calls = || today.iter().map(|sidecar| sidecar.discovery.calls()).sum::<usize>();
+        let (before, began) = (calls(), Instant::now());
+        thread::sleep(Duration::from_secs(6));
+        let polling = (calls() - before) as f64 / began.elapsed().as_secs_f64();
+        let ms = |histogram: &Histogram<u64>, q: f64| histogram.value_at_quantile(q) as f64 / 1e3;
+        println!(
+            "{size} sidecars: last took a change after p50 {:.1} ms, p99 {:.1} ms; each p50 {:.1} ms, p99 {:.1} ms; \
+             calls a second {watching:.0} watching the service, {polling:.0} today",
+            ms(&last, 0.5),
+            ms(&last, 0.99),
+            ms(&each, 0.5),
+            ms(&each, 0.99)
+        );
+    }
+}
