--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -329,6 +329,16 @@
         self.nodes[i] = Some(Listd::start_at(self.addrs[i], &data, &config, &["--id", &id]));
     }
 
+    /// Waits until every instance serves the list, knowing a leader; panics with `what` after [`PATIENCE`].
+    pub fn serving(&self, what: &str) {
+        (0..3).for_each(|i| self.node(i).until(what, Listd::serves));
+    }
+
+    /// SIGKILLs all three at once.
+    pub fn kill_all(&mut self) {
+        (0..3).for_each(|i| self.nodes[i].take().expect("running").kill());
+    }
+
     pub fn node(&self, i: usize) -> &Listd {
         self.nodes[i].as_ref().expect("running")
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -8,6 +8,7 @@
 use cluster::{Cluster, Fault, Proxy};
 use hdrhistogram::Histogram;
 use serde_json::json;
+use std::cell::Cell;
 use std::thread;
 use std::time::{Duration, Instant};
 use world::*;
@@ -30,14 +31,23 @@
 struct Front {
     cluster: Cluster,
     proxies: Vec<Proxy>,
+    /// The revision of the last change made; every change of the test bumps it by one.
+    revision: Cell<u64>,
+}
+
+/// How many a second `count` grows by over `over`.
+fn a_second(count: impl Fn() -> usize, over: Duration) -> f64 {
+    let (before, began) = (count(), Instant::now());
+    thread::sleep(over);
+    (count() - before) as f64 / began.elapsed().as_secs_f64()
 }
 
 impl Front {
     fn new(dir: &std::path::Path) -> Front {
         let cluster = Cluster::new(dir);
-        (0..3).for_each(|i| cluster.node(i).until("no leader", cluster::Listd::serves));
+        cluster.serving("no leader");
         let proxies = cluster.addrs.iter().map(|&addr| Proxy::new(addr)).collect();
-        Front { cluster, proxies }
+        Front { cluster, proxies, revision: Cell::new(0) }
     }
 
     fn requests(&self) -> usize {
@@ -46,14 +56,15 @@
 
     /// Registers an upstream anew, a change of the list that the proxies await from before it is made; answers
     /// when it was sent.
-    fn change(&self, upstream: &Upstream, phase: &str, revision: &mut u64) -> Instant {
-        *revision += 1;
+    fn change(&self, upstream: &Upstream, phase: &str) -> Instant {
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
         self.proxies.iter().for_each(|proxy| proxy.await_text(&format!("\"revision\":{revision},")));
         let line = upstream.line(phase);
         let path = format!("/registry/instances/{}", line["id"].as_str().expect("an id"));
         let sent = Instant::now();
         let written = self.cluster.write("PUT", &path, &line.to_string(), cluster::NEW_LEADER);
-        assert_eq!(written.map(|(_, at)| at), Some(*revision), "a leader took the change");
+        assert_eq!(written.map(|(_, at)| at), Some(revision), "a leader took the change");
         sent
     }
 
@@ -97,27 +108,24 @@
     let dir = std::env::temp_dir().join(format!("listd-fleet-{}", std::process::id()));
     let mut front = Front::new(&dir);
     let upstream = Upstream::start(|_| Reply::text(200, "", "served"));
-    let mut revision = 0;
-    front.change(&upstream, "Ready", &mut revision);
+    front.change(&upstream, "Ready");
     let sidecars = fleet(&front, &upstream, FLEET);
     let all: Vec<&Proxy> = front.proxies.iter().collect();
 
-    let (before, began) = (front.requests(), Instant::now());
-    thread::sleep(Duration::from_secs(6));
-    let steady = (front.requests() - before) as f64 / began.elapsed().as_secs_f64();
+    let steady = a_second(|| front.requests(), Duration::from_secs(6));
     assert!(steady <= STEADY_MOST, "{steady:.0} calls a second in steady state");
-    front.change(&upstream, "Terminating", &mut revision);
+    front.change(&upstream, "Terminating");
     assert!(Front::reached(&all, FLEET).is_some(), "each sidecar took the change");
 
     // One instance aborts its connections, another answers later than any sidecar waits: the third serves all.
     front.proxies[0].set(Fault::Reset);
     front.proxies[1].delay(Duration::from_secs(4));
-    front.change(&upstream, "Ready", &mut revision);
+    front.change(&upstream, "Ready");
     assert!(Front::reached(&all[2..], FLEET).is_some(), "each sidecar took the change from the third");
 
     front.proxies[0].set(Fault::Pass);
     front.proxies[1].delay(Duration::ZERO);
-    (0..3).for_each(|i| front.cluster.nodes[i].take().expect("running").kill());
+    front.cluster.kill_all();
     thread::sleep(Duration::from_secs(5));
     (0..3).for_each(|i| front.cluster.start(i));
     let mut busiest = 0;
@@ -127,7 +135,7 @@
         busiest = busiest.max(front.requests() - before);
     }
     assert!(busiest <= RESTARTED_MOST, "{busiest} calls in the busiest second after the restart");
-    front.change(&upstream, "Terminating", &mut revision);
+    front.change(&upstream, "Terminating");
     assert!(Front::reached(&all, FLEET).is_some(), "each sidecar took the change after the restart");
     drop(sidecars);
     drop(front);
@@ -146,15 +154,14 @@
         let dir = std::env::temp_dir().join(format!("listd-measure-{}-{size}", std::process::id()));
         let front = Front::new(&dir);
         let upstream = Upstream::start(|_| Reply::text(200, "", "served"));
-        let mut revision = 0;
-        front.change(&upstream, "Ready", &mut revision);
+        front.change(&upstream, "Ready");
         let sidecars = fleet(&front, &upstream, size);
         let all: Vec<&Proxy> = front.proxies.iter().collect();
         let (mut last, mut each) =
             (Histogram::<u64>::new(3).expect("a histogram"), Histogram::new(3).expect("a histogram"));
         for change in 0..CHANGES {
             let phase = if change % 2 == 0 { "Terminating" } else { "Ready" };
-            let sent = front.change(&upstream, phase, &mut revision);
+            let sent = front.change(&upstream, phase);
             let reached = Front::reached(&all, size).expect("each sidecar took the change");
             let micros = |at: Instant| at.saturating_duration_since(sent).as_micros() as u64;
             last.record(micros(reached)).expect("in range");
@@ -163,18 +170,14 @@
             }
             thread::sleep(Duration::from_millis(300));
         }
-        let (before, began) = (front.requests(), Instant::now());
-        thread::sleep(Duration::from_secs(6));
-        let watching = (front.requests() - before) as f64 / began.elapsed().as_secs_f64();
+        let watching = a_second(|| front.requests(), Duration::from_secs(6));
         drop(sidecars);
         drop(front);
         let _ = std::fs::remove_dir_all(&dir);
 
         let today: Vec<Sidecar> = (0..size).map(|_| Sidecar::start(&[&upstream])).collect();
         let calls = || today.iter().map(|sidecar| sidecar.discovery.calls()).sum::<usize>();
-        let (before, began) = (calls(), Instant::now());
-        thread::sleep(Duration::from_secs(6));
-        let polling = (calls() - before) as f64 / began.elapsed().as_secs_f64();
+        let polling = a_second(calls, Duration::from_secs(6));
         let ms = |histogram: &Histogram<u64>, q: f64| histogram.value_at_quantile(q) as f64 / 1e3;
         println!(
             "{size} sidecars: last took a change after p50 {:.1} ms, p99 {:.1} ms; each p50 {:.1} ms, p99 {:.1} ms; \
--- a/tests/list_service.rs
+++ b/tests/list_service.rs
@@ -37,7 +37,7 @@
 fn a_sidecar_keeps_its_list_while_the_service_is_away_and_takes_the_next_after_its_return() {
     let dir = std::env::temp_dir().join(format!("listd-sidecar-{}", std::process::id()));
     let mut cluster = Cluster::new(&dir);
-    (0..3).for_each(|i| cluster.node(i).until("no leader", cluster::Listd::serves));
+    cluster.serving("no leader");
     let [a, b, c] = [(); 3].map(|()| Upstream::start(|_| Reply::text(200, "", "served")));
     register(&cluster, &a);
     let peers: Vec<String> = cluster.addrs.iter().map(ToString::to_string).collect();
@@ -46,14 +46,14 @@
     register(&cluster, &b);
     assert!(served_by(&sidecar, &b, BACK), "what the service told was taken");
 
-    (0..3).for_each(|i| cluster.nodes[i].take().expect("running").kill());
+    cluster.kill_all();
     let away = Instant::now();
     while away.elapsed() < AWAY {
         assert_eq!(sidecar.ask(&call("look", 2.0).method("GET")).status, 200, "served on the last list");
         std::thread::sleep(Duration::from_millis(500));
     }
     (0..3).for_each(|i| cluster.start(i));
-    (0..3).for_each(|i| cluster.node(i).until("no leader after the return", cluster::Listd::serves));
+    cluster.serving("no leader after the return");
     register(&cluster, &c);
     assert!(served_by(&sidecar, &c, BACK), "what the service told after its return was taken");
     drop(cluster);
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -23,7 +23,7 @@
 fn three_instances_keep_what_was_acknowledged_through_a_kill_a_cut_and_a_restart_of_all() {
     let dir = std::env::temp_dir().join(format!("listd-raft-{}", std::process::id()));
     let mut cluster = Cluster::new(&dir);
-    (0..3).for_each(|i| cluster.node(i).until("no leader", Listd::serves));
+    cluster.serving("no leader");
 
     // A stream of writes; the leader is killed in it. Every acknowledged write survives, revisions only grow.
     let (mut acknowledged, mut last_revision, mut gap) = (Vec::new(), 0, None);
@@ -74,7 +74,7 @@
     cluster.node(paused).until("the resumed one never caught up", holds(revision_in_majority, &left));
 
     // All three killed at once and started again: the same revision and list come back from disk.
-    (0..3).for_each(|i| cluster.nodes[i].take().expect("running").kill());
+    cluster.kill_all();
     (0..3).for_each(|i| cluster.start(i));
     (0..3).for_each(|i| {
         cluster.node(i).until("not the same after a restart", holds(revision_in_majority, &left))
