listd: judge leadership by the last quorum acknowledgement, bound every write

A leader cut off from its peers went on answering lists and watches with 200 from its old state for good, and a write to it hung: has_leader asked the leader's own belief, which openraft keeps until it hears a higher vote.

Each instance now notes when it was last in touch with a quorum: the leader by what a quorum acknowledged (openraft's figure, counted from when the acknowledged call was sent), a follower by the leader's calls it took. Past the election time-out (650 ms) lists, watches and held watches end with 503, and a write that no quorum confirms within 1 s is answered 503 as open. The log keeps to warnings and the service's own lines where RUST_LOG names nothing else (tracing-subscriber's env-filter).

tests/replication.rs cuts the leader: before, it served on and the write hung; now both end, and after the mend it catches up with the majority.

--- a/src/bin/listd/http.rs
+++ b/src/bin/listd/http.rs
@@ -1,6 +1,6 @@
 //! The service over HTTP/1.1 and JSON: discovery's list and watch, registrations, heartbeats and deletes.
 
-use crate::node::{Node, WriteError};
+use crate::node::{Node, ReadError, WriteError};
 use crate::peers::MAX_RAFT_BODY;
 use crate::store::{Command, Member, Outcome, StoreError};
 use bytes::Bytes;
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Method, Request, Response, StatusCode};
+use openraft::raft::AppendEntriesResponse;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -51,7 +52,18 @@
         (&Method::PUT, ["registry", "leases", id]) => {
             written(node.write(Command::Beat { id: (*id).to_owned(), now_ms: node.now_ms() }).await)
         }
-        (&Method::POST, ["raft", "append"]) => rpc(&body, |rpc| node.raft.append_entries(rpc)).await,
+        (&Method::POST, ["raft", "append"]) => {
+            let append = async |rpc| {
+                let taken = node.raft.append_entries(rpc).await;
+                // A conflict in the log is the leader's too: only a higher vote makes its call another's.
+                if taken.as_ref().is_ok_and(|answer| !matches!(answer, AppendEntriesResponse::HigherVote(_)))
+                {
+                    node.heard_leader();
+                }
+                taken
+            };
+            rpc(&body, append).await
+        }
         (&Method::POST, ["raft", "vote"]) => rpc(&body, |rpc| node.raft.vote(rpc)).await,
         (&Method::POST, ["raft", "snapshot"]) => rpc(&body, |rpc| node.raft.install_snapshot(rpc)).await,
         (_, ["registry", ..]) => plain(StatusCode::METHOD_NOT_ALLOWED, "no such call"),
@@ -80,17 +92,15 @@
             _ => return plain(StatusCode::BAD_REQUEST, "the query takes index and wait in numbers"),
         }
     }
-    // Guards against a list that can't change any more being served as current by a cut-off minority.
-    if !node.has_leader() {
-        return plain(StatusCode::SERVICE_UNAVAILABLE, "no leader is known here");
-    }
     let answer = match (index, wait) {
         (Some(index), Some(wait)) => node.watch(index, wait).await,
         (index, _) => node.read(index),
     };
     match answer {
         Ok(list) => json(list),
-        Err(error) => refused(&error),
+        Err(ReadError::Refused(error)) => refused(&error),
+        // Guards against a list that can't change any more being served as current by a cut-off minority.
+        Err(error @ ReadError::OutOfTouch) => plain(StatusCode::SERVICE_UNAVAILABLE, &error.to_string()),
     }
 }
 
@@ -126,7 +136,7 @@
             }
             response
         }
-        Err(WriteError::Raft(error)) => {
+        Err(error @ (WriteError::Raft(_) | WriteError::Late)) => {
             tracing::warn!(%error, "a write was not committed");
             plain(StatusCode::SERVICE_UNAVAILABLE, "the write was not committed; it may be later")
         }
--- a/src/bin/listd/main.rs
+++ b/src/bin/listd/main.rs
@@ -19,14 +19,19 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
+use tracing_subscriber::EnvFilter;
 
 /// How often lapsed leases are looked for: a tenth of the shortest grace that makes sense.
 const EXPIRY_TICK: Duration = Duration::from_millis(100);
+/// What is logged where `RUST_LOG` says nothing, or what can't be read: raft tells of each election and snapshot
+/// as information, which drowns the service's own lines.
+const QUIET: &str = "warn,listd=info";
 /// A caller that has not sent a whole head by then is none.
 const HEAD_PATIENCE: Duration = Duration::from_secs(5);
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().json().with_writer(std::io::stderr).init();
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(QUIET));
+    tracing_subscriber::fmt().json().with_writer(std::io::stderr).with_env_filter(filter).init();
     let args = Args::parse();
     let config = match Config::load(&args) {
         Ok(config) => config,
@@ -60,6 +65,7 @@
     tokio::select! {
         result = accept(listener, node.clone(), config.max_connections) => result,
         () = lead.lead(EXPIRY_TICK) => Ok(()),
+        () = lead.keep_in_touch() => Err("raft reports nothing more".into()),
         fatal = raft.state(openraft::ServerState::Shutdown, "raft") => {
             Err(format!("raft stopped: {fatal:?}").into())
         }
--- a/src/bin/listd/node.rs
+++ b/src/bin/listd/node.rs
@@ -12,13 +12,19 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// Raft's times, in ms. A heartbeat every 150 ms and an election after 500 to 650 ms without one: a new leader
 /// serves within two election time-outs and a heartbeat, 1.5 s, while a loaded loopback's pauses of some tens of
 /// ms call no election.
 const HEARTBEAT_MS: u64 = 150;
 const ELECTION_MS: (u64, u64) = (500, 650);
+/// An instance that was in touch with a quorum this lately is current: its side of a cut is not the one where
+/// another leader serves by now, since nobody is elected sooner. Past it lists, watches and writes end with 503.
+const IN_TOUCH: Duration = Duration::from_millis(ELECTION_MS.1);
+/// A write is committed by a quorum in some ms; one that is not by then is answered as open: it may be later.
+const WRITE_PATIENCE: Duration = Duration::from_secs(1);
 /// Log entries kept after a snapshot, and between snapshots: a follower that is some seconds behind catches up
 /// from the log, one that is further behind from the snapshot.
 const LOG_KEPT: u64 = 1_000;
@@ -32,6 +38,18 @@
     NotLeader(Option<SocketAddr>),
     #[error("raft: {0}")]
     Raft(String),
+    /// No quorum confirmed it in time.
+    #[error("no quorum in time")]
+    Late,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum ReadError {
+    #[error(transparent)]
+    Refused(#[from] StoreError),
+    /// This instance is out of touch with a quorum, and what it has may be old.
+    #[error("out of touch with a quorum")]
+    OutOfTouch,
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -49,6 +67,9 @@
     members: BTreeMap<NodeId, SocketAddr>,
     /// Where the clock of the leases begins.
     started: Instant,
+    /// When this instance was last in touch with a quorum: the leader by what a quorum acknowledged, a follower by
+    /// what it took from the leader. `None` before the first time.
+    touch: watch::Sender<Option<Instant>>,
 }
 
 impl Node {
@@ -81,7 +102,7 @@
         if let Err(error) = raft.initialize(nodes).await {
             tracing::debug!(%error, "the membership is there already");
         }
-        Ok(Node { raft, shared, members, started: Instant::now() })
+        Ok(Node { raft, shared, members, started: Instant::now(), touch: watch::Sender::new(None) })
     }
 
     /// Milliseconds of this instance's monotonic clock.
@@ -97,7 +118,10 @@
     pub async fn write(&self, command: Command) -> Result<Outcome, WriteError> {
         // What the store refuses never reaches the log.
         self.shared.store().check(&command)?;
-        match self.raft.client_write(command).await {
+        let Ok(written) = timeout(WRITE_PATIENCE, self.raft.client_write(command)).await else {
+            return Err(WriteError::Late);
+        };
+        match written {
             Ok(response) => Ok(response.data?),
             Err(RaftError::APIError(ClientWriteError::ForwardToLeader(forward))) => {
                 Err(WriteError::NotLeader(forward.leader_id.and_then(|id| self.members.get(&id).copied())))
@@ -106,17 +130,51 @@
         }
     }
 
-    /// Whether this instance knows a leader: one that has lost it is in a minority or between terms, and what it
-    /// has may be old.
-    pub fn has_leader(&self) -> bool {
-        self.raft.metrics().borrow().current_leader.is_some()
+    /// Follows what raft says of its quorum, for good: each report tells how long ago what a quorum has
+    /// acknowledged was sent, while this instance leads.
+    pub async fn keep_in_touch(&self) {
+        let mut metrics = self.raft.metrics();
+        while metrics.changed().await.is_ok() {
+            let acknowledged = metrics.borrow_and_update().millis_since_quorum_ack;
+            if let Some(at) =
+                acknowledged.and_then(|ms| Instant::now().checked_sub(Duration::from_millis(ms)))
+            {
+                self.touched(at);
+            }
+        }
+    }
+
+    /// Notes a call of the leader that this instance took as a follower.
+    pub fn heard_leader(&self) {
+        self.touched(Instant::now());
+    }
+
+    fn touched(&self, at: Instant) {
+        self.touch.send_if_modified(|last| {
+            let newer = last.is_none_or(|last| at > last);
+            if newer {
+                *last = Some(at);
+            }
+            newer
+        });
+    }
+
+    /// Until when this instance counts as in touch with a quorum; `None` where it already does not. The leader's
+    /// own belief says nothing: one that is cut off goes on believing.
+    fn in_touch_until(&self) -> Option<Instant> {
+        let until = (*self.touch.borrow())? + IN_TOUCH;
+        (until > Instant::now()).then_some(until)
     }
 
     /// The list in discovery's form: whole, or what changed after `index`.
     ///
     /// # Errors
-    /// [`StoreError::Future`] for an index past the store's revision.
-    pub fn read(&self, index: Option<u64>) -> Result<Vec<u8>, StoreError> {
+    /// [`ReadError::OutOfTouch`] where the list may be old; [`StoreError::Future`] for an index past the store's
+    /// revision.
+    pub fn read(&self, index: Option<u64>) -> Result<Vec<u8>, ReadError> {
+        if self.in_touch_until().is_none() {
+            return Err(ReadError::OutOfTouch);
+        }
         let store = self.shared.store();
         let answer = match index {
             None => store.whole(),
@@ -125,21 +183,20 @@
         Ok(serde_json::to_vec(&answer).unwrap_or_default())
     }
 
-    /// A blocking query: answers once the store is past `index`, or when `wait` is over.
+    /// A blocking query: answers once the store is past `index`, or when `wait` is over, or as soon as this
+    /// instance is out of touch.
     ///
     /// # Errors
     /// As [`Node::read`].
-    pub async fn watch(&self, index: u64, wait: Duration) -> Result<Vec<u8>, StoreError> {
+    pub async fn watch(&self, index: u64, wait: Duration) -> Result<Vec<u8>, ReadError> {
         let deadline = Instant::now() + wait;
         let mut revision = self.shared.revision();
-        loop {
-            // Past it there is news; before it the read says that the index is from the future.
-            if *revision.borrow_and_update() != index {
-                break;
-            }
+        // Past the index there is news; before it the read says that the index is from the future.
+        while *revision.borrow_and_update() == index && Instant::now() < deadline {
+            let Some(in_touch) = self.in_touch_until() else { break };
             tokio::select! {
                 changed = revision.changed() => if changed.is_err() { break },
-                () = sleep_until(deadline) => break,
+                () = sleep_until(deadline.min(in_touch)) => {}
             }
         }
         self.read(Some(index))
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -1,9 +1,9 @@
 //! Three instances of the list service with a fault proxy on each way between two: the leader killed under a
-//! stream of writes, a follower cut off both ways, the leader paused, and all three killed and started again.
+//! stream of writes, a follower and the leader cut off both ways, the leader paused, and all three killed and started again.
 
 mod cluster;
 
-use cluster::{Cluster, Listd, NEW_LEADER, entry, ids, revision};
+use cluster::{Cluster, Listd, NEW_LEADER, PATIENCE, WRITE, entry, ids, revision};
 use std::time::Instant;
 /// Writes in the stream, and after how many the leader is killed.
 const WRITES: usize = 40;
@@ -61,6 +61,30 @@
         acknowledged.iter().filter(|id| !["s0:Ready", "s1:Ready"].contains(&id.as_str())).cloned().collect();
     cluster.node(cut).until("the mended one never caught up", holds(revision_in_majority, &left));
 
+    // The leader cut off: it answers no list and no watch any more, ends the watch it holds, and a write to it ends
+    // in time; the majority elects another and goes on.
+    let (cut, revision_at_cut) =
+        cluster.write("DELETE", "/registry/instances/s4", "", NEW_LEADER).expect("a leader");
+    let watched = format!("/registry/instances?index={revision_at_cut}&wait=20000");
+    let held = std::thread::scope(|scope| {
+        let held = scope.spawn(|| cluster.node(cut).call_within("GET", &watched, "", PATIENCE / 2));
+        cluster.cut(cut, true);
+        cluster.node(cut).until("the cut leader still served", |node| !node.serves());
+        held.join().expect("no panic")
+    });
+    let late =
+        cluster.node(cut).call_within("PUT", "/registry/instances/late", &entry("late", None), WRITE * 3);
+    assert_eq!(late.map(|answer| answer.0), Some(503), "a write to a cut leader ends in time");
+    assert!(held.is_some_and(|answer| answer.0 == 503), "the watch it held ended before its wait");
+    assert!(!cluster.node(cut).serves(), "and it stays so");
+    let (leader, revision_in_majority) =
+        cluster.write("DELETE", "/registry/instances/s5", "", NEW_LEADER).expect("a new leader");
+    assert_ne!(leader, cut, "a cut leader acknowledges nothing");
+    cluster.cut(cut, false);
+    let left: Vec<String> =
+        left.into_iter().filter(|id| !["s4:Ready", "s5:Ready"].contains(&id.as_str())).collect();
+    cluster.node(cut).until("the mended leader never caught up", holds(revision_in_majority, &left));
+
     // The leader paused past its election time-out: the others elect another and write on; resumed, it steps down
     // and takes what was written meanwhile.
     let (paused, _) = cluster.write("DELETE", "/registry/instances/s2", "", NEW_LEADER).expect("a leader");
