--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,7 @@
 mod balance;
 #[cfg(test)]
 mod decay_tests;
+pub mod fleet;
 #[cfg(test)]
 mod memory_tests;
 pub mod settings;
