--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,4 +8,5 @@
 pub mod latency;
 pub mod plan;
 pub mod report;
+pub mod site;
 pub mod state;
