Fleet: what the sites can do, and what a cold server may draw

The planner needs each site's capacity of the moment, cold servers by their warmth, and the share of the fleet's work that one unit of a cold server may draw.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! of a clock that the caller keeps; it only has to advance. Sites, tenants and classes go by their names here,
 //! since processes number them each in its own way.
 
+pub mod capacity;
 pub mod config;
 pub mod latency;
 pub mod plan;
