--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod capacity;
 pub mod config;
 pub mod latency;
+pub mod placement;
 pub mod plan;
 pub mod report;
 pub mod state;
