Fleet: demand that falls slowly, and looks from site to site

A report that is late must not look like clients that went home: demand is the higher of what is reported and its mean. And where every site serves its own clients, nobody outside could testify to a loss, so 2 % of each site's traffic goes to the others, within what is free there; 5 % to a site that some see dark and none lit, so that a quorum can tell within a report.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,7 +5,9 @@
 
 pub mod capacity;
 pub mod config;
+pub mod demand;
 pub mod latency;
+pub mod looks;
 pub mod placement;
 pub mod plan;
 pub mod report;
