Fleet: latencies held by the buckets that have a count

A histogram takes 20 KB whatever is in it, and a ledger of 300 reports with 36 lines each held 216 MB of them. The buckets are still hdrhistogram's.

--- a/src/fleet/latency.rs
+++ b/src/fleet/latency.rs
@@ -1,69 +1,78 @@
-//! Latencies that add up: `hdrhistogram`s with a sparse form for the wire.
+//! Latencies that add up: counts by the buckets of an `hdrhistogram`. Only buckets with a count are held, since a
+//! histogram itself takes 20 KB, and a planner holds one for each tenant and site of each sidecar.
 
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
+use std::sync::LazyLock;
 
 /// Two significant digits, of microseconds up to a little over a minute: what is slower is as bad.
 const DIGITS: u8 = 2;
 const MOST_US: u64 = 67_108_863;
 /// The most buckets that the sparse form may have: more than the histogram has between 1 µs and a minute.
 const MOST_BUCKETS: usize = 4_096;
+/// Tells the buckets apart; it counts nothing. The bounds are constants that the histogram allows.
+static BUCKETS: LazyLock<Histogram<u64>> = LazyLock::new(|| {
+    Histogram::new_with_max(MOST_US, DIGITS).unwrap_or_else(|_| unreachable!("constant bounds"))
+});
 
 /// Counts of answers by latency. On the wire: pairs of a bucket's latency in µs and its count.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(try_from = "Vec<(u64, u64)>", into = "Vec<(u64, u64)>")]
-pub struct Latencies(Histogram<u64>);
+pub struct Latencies(Vec<(u64, u64)>);
 
 /// A sparse form that is none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("a latency of 0 or over a minute, a count over 2^32, or too many buckets")]
 pub struct LatenciesError;
 
-impl Default for Latencies {
-    fn default() -> Latencies {
-        // The bounds are constants that the histogram allows.
-        Latencies(
-            Histogram::new_with_max(MOST_US, DIGITS).unwrap_or_else(|_| unreachable!("constant bounds")),
-        )
-    }
-}
-
 impl Latencies {
     /// Counts one answer that took so many milliseconds.
     pub fn record(&mut self, ms: f64) {
         // The cast saturates, and takes what is no number as 0.
-        self.0.saturating_record(((ms * 1e3) as u64).clamp(1, MOST_US));
+        self.add(((ms * 1e3) as u64).clamp(1, MOST_US), 1);
     }
 
     /// Adds another's counts.
     pub fn merge(&mut self, other: &Latencies) {
-        for bucket in other.0.iter_recorded() {
-            self.0.saturating_record_n(bucket.value_iterated_to(), bucket.count_at_value());
+        other.0.iter().for_each(|&(us, count)| self.add(us, count));
+    }
+
+    fn add(&mut self, us: u64, count: u64) {
+        let top = BUCKETS.highest_equivalent(us);
+        match self.0.binary_search_by_key(&top, |bucket| bucket.0) {
+            Ok(at) => self.0[at].1 = self.0[at].1.saturating_add(count),
+            Err(at) => self.0.insert(at, (top, count)),
         }
     }
 
     /// Answers counted.
     pub fn count(&self) -> u64 {
-        self.0.len()
+        self.0.iter().fold(0, |sum, bucket| sum.saturating_add(bucket.1))
     }
 
     /// The latency in ms that this percentage of the answers stay within; `None` without answers.
     pub fn percentile(&self, percentile: f64) -> Option<f64> {
-        (!self.0.is_empty()).then(|| self.0.value_at_percentile(percentile) as f64 / 1e3)
+        let rank = (self.count() as f64 * percentile / 100.0).ceil().max(1.0);
+        let mut sum = 0.0;
+        let reached = self.0.iter().find(|bucket| {
+            sum += bucket.1 as f64;
+            sum >= rank
+        });
+        reached.or(self.0.last()).map(|bucket| bucket.0 as f64 / 1e3)
     }
 
     /// The share of the answers that took at most so many ms, from 0 to 1; `None` without answers.
     pub fn share_within(&self, ms: f64) -> Option<f64> {
-        let within = self.0.count_between(0, ((ms * 1e3) as u64).min(MOST_US));
-        (!self.0.is_empty()).then(|| within as f64 / self.0.len() as f64)
+        let most = BUCKETS.highest_equivalent(((ms * 1e3) as u64).min(MOST_US));
+        let within = self.0.iter().filter(|bucket| bucket.0 <= most).map(|bucket| bucket.1);
+        let within = within.fold(0, u64::saturating_add);
+        (self.count() > 0).then(|| within as f64 / self.count() as f64)
     }
 }
 
 impl From<Latencies> for Vec<(u64, u64)> {
     fn from(latencies: Latencies) -> Vec<(u64, u64)> {
-        let bucket =
-            |b: hdrhistogram::iterators::IterationValue<u64>| (b.value_iterated_to(), b.count_at_value());
-        latencies.0.iter_recorded().map(bucket).collect()
+        latencies.0
     }
 }
 
@@ -76,9 +85,8 @@
             return Err(LatenciesError);
         }
         let mut latencies = Latencies::default();
-        for (us, count) in buckets {
-            latencies.0.saturating_record_n(us, count);
-        }
+        // An empty bucket is none.
+        buckets.into_iter().filter(|bucket| bucket.1 > 0).for_each(|(us, count)| latencies.add(us, count));
         Ok(latencies)
     }
 }
