--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,9 +6,11 @@
 pub mod capacity;
 pub mod config;
 pub mod demand;
+pub mod evidence;
 pub mod latency;
 pub mod looks;
 pub mod placement;
 pub mod plan;
 pub mod report;
+pub mod site;
 pub mod state;
