Fleet: latency estimates by tenant and site, contracts and error budgets

Steering needs to know which site meets a tenant's target, from evidence no older than the contract's window.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,7 +4,9 @@
 //! since processes number them each in its own way.
 
 pub mod config;
+pub mod estimates;
 pub mod latency;
 pub mod plan;
 pub mod report;
 pub mod state;
+pub mod targets;
