--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,11 +6,16 @@
 pub mod capacity;
 pub mod config;
 pub mod demand;
+pub mod estimates;
 pub mod evidence;
 pub mod latency;
 pub mod looks;
 pub mod placement;
 pub mod plan;
 pub mod report;
+mod rider;
 pub mod site;
 pub mod state;
+pub mod steering;
+mod steering_tests;
+pub mod targets;
