Fleet: duties: the table of leases with fencing tokens, the holder's runner, a model of both

Need: work that one process of the fleet does at a time has to pass on when its holder dies, is paused or leaves, and what an old holder sends late must not count. Change: `DutyTable` grants, renews, releases and ends leases; a grant's token is its place in the log. `Runner` is the holder's side: it counts from its own sending, less 5 % and 100 ms, renews at a third and waits with full jitter under a growing bound. Both are pure and given times as numbers.

--- a/src/bin/listd/config.rs
+++ b/src/bin/listd/config.rs
@@ -2,6 +2,7 @@
 
 use crate::store::Limits;
 use clap::Parser;
+use micapier::fleet::config::{FleetConfig, FleetConfigError};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -44,6 +45,8 @@
     pub id: u64,
     /// Every instance's address by id, as this one reaches it, this one's too; empty for one instance alone.
     pub peers: BTreeMap<String, SocketAddr>,
+    /// The control plane: on where it names a site.
+    pub fleet: FleetConfig,
 }
 
 impl Default for Config {
@@ -57,6 +60,7 @@
             max_connections: 2_048,
             id: 1,
             peers: BTreeMap::new(),
+            fleet: FleetConfig::default(),
         }
     }
 }
@@ -69,13 +73,15 @@
     Toml(PathBuf, toml::de::Error),
     #[error("peers: {0}")]
     Peers(String),
+    #[error(transparent)]
+    Fleet(#[from] FleetConfigError),
 }
 
 impl Config {
     /// The file named on the command line, or the defaults, with the command line over them.
     ///
     /// # Errors
-    /// Where the file can't be read or holds what is not a configuration.
+    /// Where the file can't be read, holds what is not a configuration, or a field of it is out of bounds.
     pub fn load(args: &Args) -> Result<Config, ConfigError> {
         let mut config = match &args.config {
             None => Config::default(),
@@ -93,6 +99,7 @@
         if let Some(id) = args.id {
             config.id = id;
         }
+        config.fleet.check()?;
         Ok(config)
     }
 
--- a/src/bin/listd/durable.rs
+++ b/src/bin/listd/durable.rs
@@ -11,7 +11,7 @@
 const ENTRIES: TableDefinition<&str, &[u8]> = TableDefinition::new("entries");
 /// The raft log by index, each entry in JSON.
 const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
-/// Single values in JSON: the store's revision and horizon, and raft's vote, applied and purged log ids,
+/// Single values in JSON: the store's revision, horizon and control plane's state, and raft's vote, applied and purged log ids,
 /// membership and last snapshot.
 const MARKS: TableDefinition<&str, &[u8]> = TableDefinition::new("marks");
 
@@ -24,6 +24,7 @@
 pub const MEMBERSHIP: &str = "membership";
 pub const PURGED: &str = "purged";
 pub const SNAPSHOT: &str = "snapshot";
+pub const FLEET: &str = "fleet";
 
 #[derive(Debug, thiserror::Error)]
 pub enum DiskError {
@@ -111,7 +112,9 @@
             let (_, value) = row?;
             entries.push(serde_json::from_slice::<Held>(value.value())?);
         }
-        Ok(Store::restore(limits, marks, entries, now_ms))
+        // A disk of before the control plane has none.
+        let fleet = self.mark(FLEET)?.unwrap_or_default();
+        Ok(Store::restore(limits, marks, entries, fleet, now_ms))
     }
 
     /// Follows a write to the store: the rows it wrote and dropped, the store's marks and `marks` besides.
@@ -130,7 +133,7 @@
             for id in &applied.dropped {
                 entries.remove(id.as_str())?;
             }
-            write_marks(&mut write.open_table(MARKS)?, store, marks)?;
+            write_marks(&mut write.open_table(MARKS)?, store, applied.fleet, marks)?;
         }
         write.commit()?;
         Ok(())
@@ -148,7 +151,7 @@
             for (id, held) in store.all() {
                 entries.insert(id, serde_json::to_vec(held)?.as_slice())?;
             }
-            write_marks(&mut write.open_table(MARKS)?, store, marks)?;
+            write_marks(&mut write.open_table(MARKS)?, store, true, marks)?;
         }
         write.commit()?;
         Ok(())
@@ -214,11 +217,14 @@
 }
 
 fn write_marks(
-    table: &mut redb::Table<'_, &str, &[u8]>, store: &Store, marks: Marks<'_>,
+    table: &mut redb::Table<'_, &str, &[u8]>, store: &Store, fleet: bool, marks: Marks<'_>,
 ) -> Result<(), DiskError> {
     let (revision, horizon) = store.marks();
     table.insert(REVISION, serde_json::to_vec(&revision)?.as_slice())?;
     table.insert(HORIZON, serde_json::to_vec(&horizon)?.as_slice())?;
+    if fleet {
+        table.insert(FLEET, serde_json::to_vec(store.fleet())?.as_slice())?;
+    }
     for (name, value) in marks {
         table.insert(*name, value.as_slice())?;
     }
--- a/src/bin/listd/http.rs
+++ b/src/bin/listd/http.rs
@@ -1,5 +1,7 @@
 //! The service over HTTP/1.1 and JSON: discovery's list and watch, registrations, heartbeats and deletes.
 
+use crate::fleet::FleetError;
+use crate::fleet_http;
 use crate::node::{Node, ReadError, WriteError};
 use crate::peers::MAX_RAFT_BODY;
 use crate::store::{Command, Member, Outcome, StoreError};
@@ -8,6 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::{Method, Request, Response, StatusCode};
+use micapier::fleet::duty::DutyError;
 use openraft::raft::AppendEntriesResponse;
 use serde::Deserialize;
 use serde::Serialize;
@@ -34,7 +37,13 @@
     let (parts, body) = request.into_parts();
     let path = parts.uri.path().to_owned();
     let query = parts.uri.query().unwrap_or_default().to_owned();
-    let most = if path.starts_with("/raft/") { MAX_RAFT_BODY } else { MAX_BODY };
+    let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    let most = match segments.as_slice() {
+        ["raft", ..] => MAX_RAFT_BODY,
+        ["fleet", "reports"] => fleet_http::MAX_REPORT,
+        ["fleet", "propose"] => fleet_http::MAX_REQUEST,
+        _ => MAX_BODY,
+    };
     let body = match Limited::new(body, most).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
@@ -42,7 +51,6 @@
         }
         Err(_) => return plain(StatusCode::BAD_REQUEST, "the body broke"),
     };
-    let segments: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     match (&parts.method, segments.as_slice()) {
         (&Method::GET, ["registry", "instances"]) => list(&node, &query).await,
         (&Method::PUT, ["registry", "instances", id]) => register(&node, id, &body).await,
@@ -66,6 +74,9 @@
         }
         (&Method::POST, ["raft", "vote"]) => rpc(&body, |rpc| node.raft.vote(rpc)).await,
         (&Method::POST, ["raft", "snapshot"]) => rpc(&body, |rpc| node.raft.install_snapshot(rpc)).await,
+        (method, ["duties" | "fleet", ..]) => {
+            fleet_http::serve(&node, method, &segments, &query, &body).await
+        }
         (_, ["registry", ..]) => plain(StatusCode::METHOD_NOT_ALLOWED, "no such call"),
         _ => plain(StatusCode::NOT_FOUND, "no such path"),
     }
@@ -81,17 +92,25 @@
     }
 }
 
-async fn list(node: &Node, query: &str) -> Response<Full<Bytes>> {
+/// The index and wait of a query, where it has them; `None` where it has anything else.
+pub fn index_and_wait(query: &str) -> Option<(Option<u64>, Option<Duration>)> {
     let (mut index, mut wait) = (None, None);
     for pair in query.split('&').filter(|pair| !pair.is_empty()) {
-        let (key, value) = pair.split_once('=').unwrap_or((pair, ""));
-        let number = value.parse::<u64>();
-        match (key, number) {
-            ("index", Ok(number)) => index = Some(number),
-            ("wait", Ok(number)) => wait = Some(Duration::from_millis(number).min(MAX_WAIT)),
-            _ => return plain(StatusCode::BAD_REQUEST, "the query takes index and wait in numbers"),
+        let (key, value) = pair.split_once('=')?;
+        let number = value.parse::<u64>().ok()?;
+        match key {
+            "index" => index = Some(number),
+            "wait" => wait = Some(Duration::from_millis(number).min(MAX_WAIT)),
+            _ => return None,
         }
     }
+    Some((index, wait))
+}
+
+async fn list(node: &Node, query: &str) -> Response<Full<Bytes>> {
+    let Some((index, wait)) = index_and_wait(query) else {
+        return plain(StatusCode::BAD_REQUEST, "the query takes index and wait in numbers");
+    };
     let answer = match (index, wait) {
         (Some(index), Some(wait)) => node.watch(index, wait).await,
         (index, _) => node.read(index),
@@ -104,7 +123,7 @@
     }
 }
 
-fn json(body: Vec<u8>) -> Response<Full<Bytes>> {
+pub fn json(body: Vec<u8>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
     response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
     response
@@ -126,8 +145,15 @@
 fn written(outcome: Result<Outcome, WriteError>) -> Response<Full<Bytes>> {
     match outcome {
         Ok(outcome) => plain(StatusCode::OK, &format!("{{\"revision\":{}}}", outcome.revision)),
-        Err(WriteError::Refused(error)) => refused(&error),
-        Err(WriteError::NotLeader(leader)) => {
+        Err(error) => refused_write(&error),
+    }
+}
+
+/// The answer to a write that was not made.
+pub fn refused_write(error: &WriteError) -> Response<Full<Bytes>> {
+    match error {
+        WriteError::Refused(error) => refused(error),
+        WriteError::NotLeader(leader) => {
             let mut response = plain(StatusCode::MISDIRECTED_REQUEST, "writes go to the leader");
             if let Some(value) =
                 leader.and_then(|addr| hyper::header::HeaderValue::from_str(&addr.to_string()).ok())
@@ -136,7 +162,7 @@
             }
             response
         }
-        Err(error @ (WriteError::Raft(_) | WriteError::Late)) => {
+        WriteError::Raft(_) | WriteError::Late => {
             tracing::warn!(%error, "a write was not committed");
             plain(StatusCode::SERVICE_UNAVAILABLE, "the write was not committed; it may be later")
         }
@@ -147,12 +173,21 @@
     let status = match error {
         StoreError::Malformed(_) | StoreError::Future { .. } => StatusCode::BAD_REQUEST,
         StoreError::Unknown => StatusCode::NOT_FOUND,
-        StoreError::Full(_) => StatusCode::INSUFFICIENT_STORAGE,
+        StoreError::Full(_) | StoreError::Fleet(FleetError::Duty(DutyError::Full)) => {
+            StatusCode::INSUFFICIENT_STORAGE
+        }
+        StoreError::Fleet(FleetError::Duty(DutyError::Held { .. } | DutyError::Stale { .. })) => {
+            StatusCode::CONFLICT
+        }
+        StoreError::Fleet(FleetError::Duty(DutyError::Malformed(_)) | FleetError::UnsoundPlan) => {
+            StatusCode::BAD_REQUEST
+        }
+        StoreError::Fleet(FleetError::Soon) => StatusCode::SERVICE_UNAVAILABLE,
     };
     plain(status, &error.to_string())
 }
 
-fn plain(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+pub fn plain(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(text.to_owned())));
     *response.status_mut() = status;
     response
--- a/src/bin/listd/main.rs
+++ b/src/bin/listd/main.rs
@@ -2,6 +2,10 @@
 
 mod config;
 mod durable;
+mod duty;
+mod fleet;
+mod fleet_http;
+mod fleet_node;
 mod http;
 mod node;
 mod peers;
@@ -10,6 +14,7 @@
 
 use clap::Parser;
 use config::{Args, Config};
+use duty::DutyKeeper;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -18,6 +23,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
 use tracing_subscriber::EnvFilter;
 
@@ -58,10 +64,28 @@
 
 async fn run(config: Config) -> Result<(), Box<dyn std::error::Error>> {
     let listener = TcpListener::bind(config.listen).await?;
-    let node = Arc::new(Node::start(config.id, config.members()?, &config.data, config.limits()).await?);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let (members, limits) = (config.members()?, config.limits());
+    let fleet_is_on = config.fleet.is_on();
+    let node = Arc::new(Node::start(config.id, members, &config.data, limits, config.fleet).await?);
     tracing::info!(listen = %listener.local_addr()?, id = config.id, data = %config.data.display(), "serving");
     let lead = node.clone();
     let raft = node.raft.wait(None);
+    let planner = DutyKeeper::new(node.clone(), fleet::PLANNER, config.id);
+    // Ends after a SIGTERM, once the duty is released.
+    let duties = async {
+        let keep = async {
+            if fleet_is_on {
+                planner.run().await;
+            }
+        };
+        let stop = async {
+            terminate.recv().await;
+            tracing::info!("stopping");
+            planner.drain();
+        };
+        tokio::join!(keep, stop);
+    };
     tokio::select! {
         result = accept(listener, node.clone(), config.max_connections) => result,
         () = lead.lead(EXPIRY_TICK) => Ok(()),
@@ -69,6 +93,7 @@
         fatal = raft.state(openraft::ServerState::Shutdown, "raft") => {
             Err(format!("raft stopped: {fatal:?}").into())
         }
+        () = duties => Ok(()),
     }
 }
 
--- a/src/bin/listd/node.rs
+++ b/src/bin/listd/node.rs
@@ -1,9 +1,11 @@
 //! One instance of the service: raft over the store, the clock of the leases, and what the leader alone does.
 
 use crate::durable::DiskError;
+use crate::fleet_node::Reports;
 use crate::peers::Peers;
 use crate::replica::{NodeId, Replica, Shared, Types};
 use crate::store::{Command, Limits, Outcome, StoreError};
+use micapier::fleet::config::FleetConfig;
 use openraft::error::{ClientWriteError, RaftError};
 use openraft::storage::Adaptor;
 use openraft::{BasicNode, Raft, ServerState};
@@ -62,7 +64,11 @@
 
 pub struct Node {
     pub raft: Raft<Types>,
-    shared: Arc<Shared>,
+    /// The control plane's configuration.
+    pub fleet: FleetConfig,
+    pub(crate) reports: Reports,
+    pub(crate) shared: Arc<Shared>,
+    id: NodeId,
     /// Every instance's address by id, this one's too.
     members: BTreeMap<NodeId, SocketAddr>,
     /// Where the clock of the leases begins.
@@ -79,7 +85,7 @@
     /// # Errors
     /// Where the disk can't be read or raft can't start.
     pub async fn start(
-        id: NodeId, members: BTreeMap<NodeId, SocketAddr>, path: &Path, limits: Limits,
+        id: NodeId, members: BTreeMap<NodeId, SocketAddr>, path: &Path, limits: Limits, fleet: FleetConfig,
     ) -> Result<Node, StartError> {
         let replica = Replica::open(path, limits, 0)?;
         let shared = replica.shared();
@@ -102,7 +108,13 @@
         if let Err(error) = raft.initialize(nodes).await {
             tracing::debug!(%error, "the membership is there already");
         }
-        Ok(Node { raft, shared, members, started: Instant::now(), touch: watch::Sender::new(None) })
+        let (started, touch) = (Instant::now(), watch::Sender::new(None));
+        Ok(Node { raft, fleet, reports: Reports::default(), shared, id, members, started, touch })
+    }
+
+    /// The addresses of the other instances.
+    pub fn others(&self) -> impl Iterator<Item = &SocketAddr> {
+        self.members.iter().filter(|(id, _)| **id != self.id).map(|(_, addr)| addr)
     }
 
     /// Milliseconds of this instance's monotonic clock.
@@ -161,11 +173,16 @@
 
     /// Until when this instance counts as in touch with a quorum; `None` where it already does not. The leader's
     /// own belief says nothing: one that is cut off goes on believing.
-    fn in_touch_until(&self) -> Option<Instant> {
+    pub(crate) fn in_touch_until(&self) -> Option<Instant> {
         let until = (*self.touch.borrow())? + IN_TOUCH;
         (until > Instant::now()).then_some(until)
     }
 
+    /// Whether this instance is in touch with a quorum.
+    pub fn is_in_touch(&self) -> bool {
+        self.in_touch_until().is_some()
+    }
+
     /// The list in discovery's form: whole, or what changed after `index`.
     ///
     /// # Errors
@@ -189,21 +206,34 @@
     /// # Errors
     /// As [`Node::read`].
     pub async fn watch(&self, index: u64, wait: Duration) -> Result<Vec<u8>, ReadError> {
-        let deadline = Instant::now() + wait;
-        let mut revision = self.shared.revision();
+        let revision = self.shared.revision();
         // Past the index there is news; before it the read says that the index is from the future.
-        while *revision.borrow_and_update() == index && Instant::now() < deadline {
-            let Some(in_touch) = self.in_touch_until() else { break };
+        self.until(revision.clone(), wait, || *revision.borrow() != index).await;
+        self.read(Some(index))
+    }
+
+    /// Waits until `there`, asked anew at each change of `news`; for `wait` at most, and only while this instance is
+    /// in touch with a quorum.
+    pub(crate) async fn until(
+        &self, mut news: watch::Receiver<u64>, wait: Duration, mut there: impl FnMut() -> bool,
+    ) {
+        let deadline = Instant::now() + wait;
+        loop {
+            // Seen before it is asked, so that what changes meanwhile wakes.
+            news.borrow_and_update();
+            if there() || Instant::now() >= deadline {
+                return;
+            }
+            let Some(in_touch) = self.in_touch_until() else { return };
             tokio::select! {
-                changed = revision.changed() => if changed.is_err() { break },
+                changed = news.changed() => if changed.is_err() { return },
                 () = sleep_until(deadline.min(in_touch)) => {}
             }
         }
-        self.read(Some(index))
     }
 
     /// What the leader alone does, for good: at the start of each of its terms every lease begins anew on its
-    /// clock, and each `tick` the entries whose lease lapsed past the grace are tombstoned.
+    /// clock, and each `tick` the entries whose lease lapsed past the grace are tombstoned and lapsed duties freed.
     pub async fn lead(&self, tick: Duration) {
         let mut led_term = None;
         let mut ticks = tokio::time::interval(tick);
--- a/src/bin/listd/peers.rs
+++ b/src/bin/listd/peers.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::SendRequest;
-use hyper::{Request, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use openraft::BasicNode;
 use openraft::error::{
@@ -50,7 +50,7 @@
 }
 
 #[derive(Debug, thiserror::Error)]
-enum CallError {
+pub enum CallError {
     #[error("no connection: {0}")]
     Connect(std::io::Error),
     #[error("the call broke: {0}")]
@@ -65,19 +65,54 @@
     Json(#[from] serde_json::Error),
 }
 
+async fn connect(addr: &str) -> Result<SendRequest<Full<Bytes>>, CallError> {
+    let stream = TcpStream::connect(addr).await.map_err(CallError::Connect)?;
+    stream.set_nodelay(true).map_err(CallError::Connect)?;
+    let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    // The connection ends with its peer; its end is the next call's error.
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+fn request(host: &str, method: Method, path: &str, body: Vec<u8>) -> Result<Request<Full<Bytes>>, CallError> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("Host", host)
+        .header("Content-Type", "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|_| CallError::Body)
+}
+
+async fn call(
+    sender: &mut SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let answer = sender.send_request(request).await?;
+    let status = answer.status();
+    let body = Limited::new(answer.into_body(), MAX_RAFT_BODY).collect().await;
+    Ok((status, body.map_err(|_| CallError::Body)?.to_bytes()))
+}
+
+/// One call to another instance, on a connection of its own. The caller bounds its time.
+///
+/// # Errors
+/// [`CallError`] where there was no whole answer.
+pub async fn ask(
+    addr: SocketAddr, method: Method, path: &str, body: Vec<u8>,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let host = addr.to_string();
+    let request = request(&host, method, path, body)?;
+    call(&mut connect(&host).await?, request).await
+}
+
 type Answer<T, E> = Result<T, RPCError<NodeId, BasicNode, RaftError<NodeId, E>>>;
 
 impl Peer {
     async fn sender(&mut self) -> Result<&mut SendRequest<Full<Bytes>>, CallError> {
         if self.sender.as_ref().is_none_or(SendRequest::is_closed) {
-            let stream = TcpStream::connect(&self.addr).await.map_err(CallError::Connect)?;
-            stream.set_nodelay(true).map_err(CallError::Connect)?;
-            let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-            // The connection ends with its peer; its end is the next call's error.
-            tokio::spawn(async move {
-                let _ = connection.await;
-            });
-            self.sender = Some(sender);
+            self.sender = Some(connect(&self.addr).await?);
         }
         let sender = self.sender.as_mut().ok_or(CallError::Late)?;
         sender.ready().await?;
@@ -111,20 +146,11 @@
     }
 
     async fn call(&mut self, path: &str, body: Vec<u8>) -> Result<Bytes, CallError> {
-        let host = self.addr.clone();
-        let request = Request::post(path)
-            .header("Host", host)
-            .header("Content-Type", "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|_| CallError::Body)?;
-        let answer = self.sender().await?.send_request(request).await?;
-        let status = answer.status();
-        let body =
-            Limited::new(answer.into_body(), MAX_RAFT_BODY).collect().await.map_err(|_| CallError::Body)?;
-        if status != StatusCode::OK {
-            return Err(CallError::Status(status));
+        let request = request(&self.addr, Method::POST, path, body)?;
+        match call(self.sender().await?, request).await? {
+            (StatusCode::OK, body) => Ok(body),
+            (status, _) => Err(CallError::Status(status)),
         }
-        Ok(body.to_bytes())
     }
 }
 
--- a/src/bin/listd/replica.rs
+++ b/src/bin/listd/replica.rs
@@ -1,6 +1,7 @@
 //! The store as a raft state machine, and the raft log, both on the instance's disk.
 
 use crate::durable::{self, Disk, DiskError};
+use crate::fleet::Place;
 use crate::store::{Applied, Command, Limits, Outcome, Store, StoreError};
 use openraft::storage::{LogState, RaftLogReader, RaftSnapshotBuilder, RaftStorage, Snapshot, SnapshotMeta};
 use openraft::{
@@ -21,10 +22,12 @@
 pub type NodeId = u64;
 type Failure = StorageError<NodeId>;
 
-/// What every part of an instance reads: the store as applied, and its revision for watchers.
+/// What every part of an instance reads: the store as applied, and for watchers its revision and the count of the
+/// changes of the control plane's state.
 pub struct Shared {
     store: Mutex<Store>,
     revision: watch::Sender<u64>,
+    fleet: watch::Sender<u64>,
 }
 
 impl Shared {
@@ -37,6 +40,15 @@
     pub fn revision(&self) -> watch::Receiver<u64> {
         self.revision.subscribe()
     }
+
+    /// The count of changes of the control plane's state, for watchers to wait on.
+    pub fn fleet(&self) -> watch::Receiver<u64> {
+        self.fleet.subscribe()
+    }
+
+    fn fleet_is_at(&self, changes: u64) {
+        self.fleet.send_if_modified(|last| std::mem::replace(last, changes) != changes);
+    }
 }
 
 /// A snapshot: the store and where in the log it stands.
@@ -76,7 +88,9 @@
         let disk = Disk::open(path)?;
         let store = disk.store(limits, now_ms)?;
         let revision = watch::Sender::new(store.revision());
-        Ok(Replica { disk: Arc::new(disk), shared: Arc::new(Shared { store: Mutex::new(store), revision }) })
+        let fleet = watch::Sender::new(store.fleet().changes());
+        let shared = Shared { store: Mutex::new(store), revision, fleet };
+        Ok(Replica { disk: Arc::new(disk), shared: Arc::new(shared) })
     }
 
     pub fn shared(&self) -> Arc<Shared> {
@@ -186,17 +200,15 @@
         for entry in entries {
             let mut marks = vec![(durable::APPLIED, json(&Some(entry.log_id))?)];
             let mut store = self.shared.store();
-            let unchanged = Outcome { revision: store.revision(), changed: false };
+            let at = Place { term: entry.log_id.leader_id.term, index: entry.log_id.index };
             let applied = match &entry.payload {
-                EntryPayload::Normal(command) => store.apply(command),
+                EntryPayload::Normal(command) => store.apply(command, at),
                 EntryPayload::Membership(membership) => {
                     let stored = StoredMembership::new(Some(entry.log_id), membership.clone());
                     marks.push((durable::MEMBERSHIP, json(&stored)?));
-                    Ok(Applied { outcome: unchanged, written: Vec::new(), dropped: Vec::new() })
-                }
-                EntryPayload::Blank => {
-                    Ok(Applied { outcome: unchanged, written: Vec::new(), dropped: Vec::new() })
+                    Ok(Applied::nothing(store.revision()))
                 }
+                EntryPayload::Blank => Ok(Applied::nothing(store.revision())),
             };
             match applied {
                 Ok(applied) => {
@@ -204,6 +216,7 @@
                     if applied.outcome.changed {
                         self.shared.revision.send_replace(applied.outcome.revision);
                     }
+                    self.shared.fleet_is_at(store.fleet().changes());
                     answers.push(Ok(applied.outcome));
                 }
                 // A refusal changes nothing in the store but the place in the log.
@@ -237,9 +250,10 @@
             (durable::SNAPSHOT, json(&image)?),
         ];
         self.disk.replace(&image.store, &marks).map_err(|error| io(&error))?;
-        let revision = image.store.revision();
+        let (revision, changes) = (image.store.revision(), image.store.fleet().changes());
         *self.shared.store() = image.store;
         self.shared.revision.send_replace(revision);
+        self.shared.fleet_is_at(changes);
         Ok(())
     }
 
--- a/src/bin/listd/store.rs
+++ b/src/bin/listd/store.rs
@@ -1,6 +1,7 @@
 //! The list and its revisions: entries, tombstones, leases and compaction. No I/O and no clock: each write that
 //! depends on time is given it, in milliseconds of the service's own monotonic clock.
 
+use crate::fleet::{FleetAnswer, FleetError, FleetRequest, FleetState, Place};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -56,11 +57,13 @@
     Beat { id: String, now_ms: u64 },
     /// Tombstones an entry at once.
     Delete { id: String },
-    /// Tombstones the entries whose lease lapsed more than the grace ago.
+    /// Tombstones the entries whose lease lapsed more than the grace ago, and frees the duties whose lease lapsed.
     Expire { now_ms: u64 },
     /// Every lease begins a new TTL: after a restart or a change of leader, whose clock is not the one that the
     /// deadlines were set by, and while heartbeats could not reach the service.
     RenewAll { now_ms: u64 },
+    /// A write to the control plane's state.
+    Fleet { request: FleetRequest, now_ms: u64 },
 }
 
 /// What a write did.
@@ -70,6 +73,8 @@
     pub revision: u64,
     /// Whether the write changed anything seen by a reader (and so bumped the revision).
     pub changed: bool,
+    /// What a write to the control plane's state did.
+    pub fleet: Option<FleetAnswer>,
 }
 
 /// What a write did, and the entries it wrote and dropped, for the disk to follow.
@@ -78,6 +83,16 @@
     pub outcome: Outcome,
     pub written: Vec<String>,
     pub dropped: Vec<String>,
+    /// Whether the control plane's state may have changed.
+    pub fleet: bool,
+}
+
+impl Applied {
+    /// A write that changed nothing.
+    pub fn nothing(revision: u64) -> Applied {
+        let outcome = Outcome { revision, changed: false, fleet: None };
+        Applied { outcome, written: Vec::new(), dropped: Vec::new(), fleet: false }
+    }
 }
 
 /// The part of an entry that can't be served.
@@ -116,6 +131,8 @@
     Full(usize),
     #[error("revision {asked} is from the future: the store is at {current}")]
     Future { asked: u64, current: u64 },
+    #[error(transparent)]
+    Fleet(#[from] FleetError),
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -160,17 +177,24 @@
     horizon: u64,
     entries: BTreeMap<String, Held>,
     limits: Limits,
+    #[serde(default)]
+    fleet: FleetState,
 }
 
 impl Store {
     pub fn new(limits: Limits) -> Store {
-        Store { revision: 0, horizon: 0, entries: BTreeMap::new(), limits }
+        Store { revision: 0, horizon: 0, entries: BTreeMap::new(), limits, fleet: FleetState::default() }
     }
 
     pub fn revision(&self) -> u64 {
         self.revision
     }
 
+    /// The control plane's state.
+    pub fn fleet(&self) -> &FleetState {
+        &self.fleet
+    }
+
     /// The whole list, without tombstones.
     pub fn whole(&self) -> Answer<'_> {
         let members = self.entries.values().filter(|held| held.member.phase != Phase::Gone);
@@ -200,10 +224,10 @@
         })
     }
 
-    /// Whether some lease has lapsed past its grace by `now_ms`, so that an [`Command::Expire`] would change
+    /// Whether some lease of an entry past its grace or of a duty has lapsed by `now_ms`, so that an [`Command::Expire`] would change
     /// something.
     pub fn due(&self, now_ms: u64) -> bool {
-        self.entries.values().any(|held| lapsed(held, self.limits.grace_ms, now_ms))
+        self.fleet.due(now_ms) || self.entries.values().any(|held| lapsed(held, self.limits.grace_ms, now_ms))
     }
 
     /// Checks a command without applying it, so that what is refused never reaches a replicated log.
@@ -231,19 +255,21 @@
                 _ => Err(StoreError::Unknown),
             },
             Command::Expire { .. } | Command::RenewAll { .. } => Ok(()),
+            Command::Fleet { request, .. } => Ok(FleetState::check(request)?),
         }
     }
 
-    /// Applies a command. Every instance of a replicated service applies the same commands in the same order, and
+    /// Applies a command that stands at `at` in the log. Every instance of a replicated service applies the same commands in the same order, and
     /// ends with the same store.
     ///
     /// # Errors
     /// [`StoreError::Malformed`] for an entry that can't be served, [`StoreError::Full`] where the list has no
-    /// room, [`StoreError::Unknown`] for a beat or a delete of what is not there. None of them changes anything.
-    pub fn apply(&mut self, command: &Command) -> Result<Applied, StoreError> {
+    /// room, [`StoreError::Unknown`] for a beat or a delete of what is not there, [`StoreError::Fleet`]. None of
+    /// them changes anything.
+    pub fn apply(&mut self, command: &Command, at: Place) -> Result<Applied, StoreError> {
         self.check(command)?;
         let next = self.revision + 1;
-        let mut written = Vec::new();
+        let (mut written, mut answer) = (Vec::new(), None);
         let changed = match command {
             Command::Put { member, ttl_ms, now_ms } => {
                 let lease = ttl_ms.map(|ttl_ms| Lease { ttl_ms, deadline_ms: now_ms + ttl_ms });
@@ -268,6 +294,7 @@
                 true
             }
             Command::Expire { now_ms } => {
+                self.fleet.expire(*now_ms, at);
                 let grace = self.limits.grace_ms;
                 for (id, held) in &mut self.entries {
                     if lapsed(held, grace, *now_ms) {
@@ -279,6 +306,11 @@
             }
             Command::RenewAll { now_ms } => {
                 self.renew_all(*now_ms);
+                self.fleet.renew_all(*now_ms, at);
+                false
+            }
+            Command::Fleet { request, now_ms } => {
+                answer = Some(self.fleet.apply(request, *now_ms, at)?);
                 false
             }
         };
@@ -288,7 +320,10 @@
         } else {
             Vec::new()
         };
-        Ok(Applied { outcome: Outcome { revision: self.revision, changed }, written, dropped })
+        let fleet =
+            matches!(command, Command::Fleet { .. } | Command::Expire { .. } | Command::RenewAll { .. });
+        let outcome = Outcome { revision: self.revision, changed, fleet: answer };
+        Ok(Applied { outcome, written, dropped, fleet })
     }
 
     /// Drops the tombstones that are older than the retained window, and moves the horizon past them. Answers
@@ -323,9 +358,12 @@
         (self.revision, self.horizon)
     }
 
-    /// A store as the disk had it. Every lease begins a new TTL at `now_ms`, since deadlines are not kept there.
-    pub fn restore(limits: Limits, marks: (u64, u64), entries: Vec<Held>, now_ms: u64) -> Store {
-        let mut store = Store::new(limits);
+    /// A store as the disk had it. Every lease of an entry begins a new TTL at `now_ms`, since their deadlines are
+    /// not kept there. Those of duties are, so that every instance grants and frees them alike.
+    pub fn restore(
+        limits: Limits, marks: (u64, u64), entries: Vec<Held>, fleet: FleetState, now_ms: u64,
+    ) -> Store {
+        let mut store = Store { fleet, ..Store::new(limits) };
         (store.revision, store.horizon) = marks;
         store.entries = entries.into_iter().map(|held| (held.member.id.clone(), held)).collect();
         store.renew_all(now_ms);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! since processes number them each in its own way.
 
 pub mod config;
+pub mod duty;
 pub mod latency;
 pub mod plan;
 pub mod report;
