--- a/src/bin/listd/duty.rs
+++ b/src/bin/listd/duty.rs
@@ -4,7 +4,7 @@
 use crate::node::{Node, WriteError};
 use crate::replica::NodeId;
 use crate::store::StoreError;
-use micapier::fleet::duty::{DutyError, Refusal, Runner, Step, TTL_MS};
+use micapier::fleet::duty::{DutyError, Grant, Refusal, Runner, Step, TTL_MS};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::Notify;
@@ -58,8 +58,9 @@
                 }
                 Step::Release { token } => {
                     let release = FleetRequest::Release { name: self.name.to_owned(), token };
-                    if let Err(error) = self.node.propose(release).await {
-                        tracing::warn!(%error, duty = self.name, "not released; it will lapse");
+                    match self.node.propose(release).await {
+                        Ok(_) => tracing::info!(duty = self.name, token, "released"),
+                        Err(error) => tracing::warn!(%error, duty = self.name, token, "not released"),
                     }
                 }
                 Step::Wait { until } => {
@@ -74,7 +75,7 @@
         }
     }
 
-    async fn ask(&self) -> Result<micapier::fleet::duty::Grant, Refusal> {
+    async fn ask(&self) -> Result<Grant, Refusal> {
         let grant =
             FleetRequest::Grant { name: self.name.to_owned(), holder: self.holder.clone(), ttl_ms: TTL_MS };
         match self.node.propose(grant).await {
--- a/src/bin/listd/store_tests.rs
+++ b/src/bin/listd/store_tests.rs
@@ -118,3 +118,13 @@
     assert_eq!(before.revision(), 1);
     assert_eq!(store.revision(), 4, "only the three good puts counted");
 }
+
+#[test]
+fn a_store_of_before_the_control_plane_can_be_read() {
+    let mut store = Store::new(LIMITS);
+    put(&mut store, "a", None, 0);
+    let mut before = serde_json::to_value(&store).expect("JSON");
+    before.as_object_mut().and_then(|fields| fields.remove("fleet")).expect("a field");
+    assert_eq!(serde_json::from_value::<Store>(before).ok(), Some(store));
+    assert_eq!(serde_json::from_str::<FleetState>("{}").ok(), Some(FleetState::default()));
+}
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -68,7 +68,7 @@
     }
 
     /// Whether every number in it can be gone by.
-    fn is_sound(&self) -> bool {
+    pub fn is_sound(&self) -> bool {
         let share = |value: &f64| value.is_finite() && *value >= 0.0;
         let part = |value: &f64| (0.0..=1.0).contains(value);
         self.shares.values().flat_map(BTreeMap::values).flat_map(BTreeMap::values).all(share)
