--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -4,7 +4,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
@@ -100,11 +100,27 @@
 
     /// Pauses (SIGSTOP) or resumes (SIGCONT) the process.
     pub fn pause(&self, paused: bool) {
-        let signal = if paused { "-STOP" } else { "-CONT" };
+        self.signal(if paused { "-STOP" } else { "-CONT" });
+    }
+
+    fn signal(&self, signal: &str) {
         let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(status.is_ok_and(|status| status.success()), "kill {signal}");
     }
 
+    /// SIGTERM; answers how the process ended, within [`PATIENCE`].
+    pub fn terminate(mut self) -> ExitStatus {
+        self.signal("-TERM");
+        let began = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("its own child") {
+                return status;
+            }
+            assert!(began.elapsed() < PATIENCE, "{} never ended", self.addr);
+            sleep(Duration::from_millis(5));
+        }
+    }
+
     /// SIGKILL, and the process reaped.
     pub fn kill(mut self) {
         self.child.kill().expect("SIGKILL");
@@ -291,6 +307,11 @@
 
 impl Cluster {
     pub fn new(dir: &Path) -> Cluster {
+        Cluster::with(dir, "")
+    }
+
+    /// The same with more tables in each instance's configuration.
+    pub fn with(dir: &Path, tables: &str) -> Cluster {
         std::fs::create_dir_all(dir).expect("a folder");
         let addrs: Vec<_> = (0..3).map(|_| free_port()).collect();
         let proxies: Vec<Vec<_>> = (0..3)
@@ -304,7 +325,7 @@
                     format!("\"{}\" = \"{}\"\n", to + 1, way.as_ref().map_or(addrs[to], |p| p.addr))
                 })
                 .collect();
-            std::fs::write(dir.join(format!("{from}.toml")), format!("[peers]\n{peers}"))
+            std::fs::write(dir.join(format!("{from}.toml")), format!("[peers]\n{peers}{tables}"))
                 .expect("a configuration");
         }
         let mut cluster = Cluster { dir: dir.to_owned(), addrs, proxies, nodes: vec![None, None, None] };
--- a/tests/listd.rs
+++ b/tests/listd.rs
@@ -31,6 +31,9 @@
         ("PUT", "/registry/instances/x", &"x".repeat(70_000), 413),
         ("GET", "/registry/instances?index=99&wait=10", "", 400),
         ("PUT", "/registry/leases/kept", "", 404),
+        // No fleet is configured here.
+        ("GET", "/fleet/reports", "", 404),
+        ("PUT", "/duties/d", r#"{"holder":"a","ttl_ms":1000}"#, 404),
     ] {
         assert_eq!(listd.call(method, path, body).0, status, "{method} {path}");
     }
