--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub mod capacity;
 pub mod config;
 pub mod demand;
+pub mod duty;
 pub mod estimates;
 pub mod evidence;
 pub mod latency;
@@ -17,5 +18,6 @@
 pub mod site;
 pub mod state;
 pub mod steering;
+#[cfg(test)]
 mod steering_tests;
 pub mod targets;
