Fleet: the planner, from reports, list and calendar to the plan

One tick: verdicts, the sites' states, their rooms, placement and admission, looks, and last the steering of tenants with contracts. A site on its way back takes the ramp's part of its room, half of it for looks from outside; one that is cut off and lit within keeps its own clients. A new planner goes on from the published plan, which now names the ramp's parts, and listens for a second first. Published at any change that matters and each second.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod looks;
 pub mod placement;
 pub mod plan;
+pub mod planner;
 pub mod report;
 mod rider;
 pub mod site;
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -41,6 +41,8 @@
     /// The share of the whole fleet's traffic that one unit of capacity (a server's size, as warm as it is) of
     /// a cold server may draw. `None` where the sidecars' own rule is enough.
     pub cold_share: Option<f64>,
+    /// The part of its load that each site takes which is on its way back, from 0 to 1.
+    pub ramp: BTreeMap<String, f64>,
     /// Sites on the first steps of their return: only classes that are safe to repeat go there.
     pub trial: Vec<String>,
     /// Contracts that are breached and that no site can mend, as `tenant:percentile`.
@@ -73,6 +75,7 @@
         let part = |value: &f64| (0.0..=1.0).contains(value);
         self.shares.values().flat_map(BTreeMap::values).flat_map(BTreeMap::values).all(share)
             && self.admit.values().flat_map(BTreeMap::values).all(part)
+            && self.ramp.values().all(part)
             && self.cold_share.as_ref().is_none_or(share)
             && (1..=VALID_MOST_MS).contains(&self.valid_ms)
     }
--- a/src/fleet/report.rs
+++ b/src/fleet/report.rs
@@ -171,14 +171,18 @@
 
     /// The reports that count at `now_ms`.
     pub fn live(&self, now_ms: u64) -> impl Iterator<Item = &Report> {
-        self.latest.values().filter(move |held| now_ms < held.since + COUNTS_MS).map(|held| &held.report)
+        self.live_aged(now_ms).map(|(report, _)| report)
     }
 
-    /// The same, with their ages, for another holder.
+    /// The same, each with its age in ms.
+    pub fn live_aged(&self, now_ms: u64) -> impl Iterator<Item = (&Report, u64)> {
+        let live = self.latest.values().filter(move |held| now_ms < held.since + COUNTS_MS);
+        live.map(move |held| (&held.report, now_ms.saturating_sub(held.since)))
+    }
+
+    /// The same, for another holder.
     pub fn aged(&self, now_ms: u64) -> Vec<Aged> {
-        let live = self.latest.values().filter(|held| now_ms < held.since + COUNTS_MS);
-        live.map(|held| Aged { report: held.report.clone(), age_ms: now_ms.saturating_sub(held.since) })
-            .collect()
+        self.live_aged(now_ms).map(|(report, age_ms)| Aged { report: report.clone(), age_ms }).collect()
     }
 }
 
