listd: the planner's task, for whoever has the duty

Off without sites in [fleet]. Tested on three processes: a site that two others see dark is closed, and stays so in every plan after the holder is killed.

--- a/src/bin/listd/duty.rs
+++ b/src/bin/listd/duty.rs
@@ -35,7 +35,6 @@
     }
 
     /// The token to act with now, while this instance has the duty.
-    #[expect(dead_code, reason = "the planner's task asks it")]
     pub fn may_act(&self) -> Option<u64> {
         self.runner().may_act(self.node.now_ms())
     }
--- a/src/bin/listd/fleet_node.rs
+++ b/src/bin/listd/fleet_node.rs
@@ -102,7 +102,6 @@
     }
 
     /// Takes in the reports that the other instances hold; one that does not answer in time is left out.
-    #[expect(dead_code, reason = "the planner's task pulls them")]
     pub async fn pull_reports(&self) {
         let asked_ms = self.now_ms();
         let mut calls = JoinSet::new();
--- a/src/bin/listd/main.rs
+++ b/src/bin/listd/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod node;
 mod peers;
+mod planner;
 mod replica;
 mod store;
 
@@ -71,18 +72,21 @@
     tracing::info!(listen = %listener.local_addr()?, id = config.id, data = %config.data.display(), "serving");
     let lead = node.clone();
     let raft = node.raft.wait(None);
-    let planner = DutyKeeper::new(node.clone(), fleet::PLANNER, config.id);
+    let duty = DutyKeeper::new(node.clone(), fleet::PLANNER, config.id);
     // Ends after a SIGTERM, once the duty is released.
     let duties = async {
         let keep = async {
             if fleet_is_on {
-                planner.run().await;
+                tokio::select! {
+                    () = duty.run() => {}
+                    () = planner::run(&node, &duty) => {}
+                }
             }
         };
         let stop = async {
             terminate.recv().await;
             tracing::info!("stopping");
-            planner.drain();
+            duty.drain();
         };
         tokio::join!(keep, stop);
     };
--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -162,6 +162,11 @@
         now_ms >= at + PUBLISH_MS || !same || differ(plan, last)
     }
 
+    /// The plan that was published last by this planner.
+    pub fn last_published(&self) -> Option<&Plan> {
+        self.published.as_ref().map(|(plan, _)| plan)
+    }
+
     /// Notes that a plan was published at `now_ms`.
     pub fn published(&mut self, plan: Plan, now_ms: u64) {
         self.published = Some((plan, now_ms));
