--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 pub mod placement;
 pub mod plan;
 pub mod planner;
+pub mod profile;
 pub mod report;
 mod rider;
 pub mod site;
