Fleet: maintenance windows: slots, the calendar and its steps

Operators take sites out for work, and the control plane has to pick when: the slot with the least demand to be expected that the sites out at a time, regions and capacity allow, or a typed refusal. A window's steps are compare-and-set by its state and count of steps, so that none is lost or done twice; it is held while another site is away and moved or cancelled where a step comes so late that the lead or the operators' time would be cut short. Time never goes back.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -18,8 +18,11 @@
 pub mod report;
 mod rider;
 pub mod site;
+pub mod slots;
 pub mod state;
 pub mod steering;
 #[cfg(test)]
 mod steering_tests;
 pub mod targets;
+pub mod window;
+pub mod windows;
