listd: maintenance windows in the replicated state, and operators' calls

The leader picks the slot once it has applied all that was committed, and picks anew where another request took it first. PUT, GET, DELETE and extend under /fleet/windows; a refusal is 400, 404 or 409 with its reason and changes nothing, and a follower answers 421.

Tested: what is said under an old token changes nothing.

--- a/src/bin/listd/fleet.rs
+++ b/src/bin/listd/fleet.rs
@@ -1,8 +1,10 @@
 //! The replicated state of the control plane beside the list's entries: who has which duty, and the published plan.
 //! Pure like the store: each write is given its time and its place in the log.
 
+use crate::maintenance::{Maintenance, MaintenanceRequest};
 use micapier::fleet::duty::{DutyError, DutyTable, Grant};
 use micapier::fleet::plan::{Plan, PlanMark};
+use micapier::fleet::window;
 use serde::{Deserialize, Serialize};
 
 /// The duty whose holder publishes the plan.
@@ -25,6 +27,8 @@
     Release { name: String, token: u64 },
     /// Puts a plan in the place of the last, under the token of the duty [`PLANNER`].
     Publish { token: u64, plan: Box<Plan> },
+    /// A write to the calendar of maintenance windows or the profile.
+    Maintenance(Box<MaintenanceRequest>),
 }
 
 /// What a request did.
@@ -34,6 +38,7 @@
     Released,
     /// The plan's mark as the store has set it.
     Published(PlanMark),
+    Maintained,
 }
 
 /// Why a request is refused. Nothing changed.
@@ -43,6 +48,8 @@
     Duty(#[from] DutyError),
     #[error("a number of the plan is out of bounds")]
     UnsoundPlan,
+    #[error(transparent)]
+    Window(#[from] window::Refusal),
     /// The leader has not yet begun the leases anew on its clock, so it can't tell which have lapsed.
     #[error("the leader has just begun")]
     Soon,
@@ -58,6 +65,7 @@
     changes: u64,
     duties: DutyTable,
     plan: Option<Plan>,
+    maintenance: Maintenance,
 }
 
 impl FleetState {
@@ -74,6 +82,11 @@
         self.plan.as_ref()
     }
 
+    /// The maintenance windows and what they are picked by.
+    pub fn maintenance(&self) -> &Maintenance {
+        &self.maintenance
+    }
+
     /// The last plan's version; 0 before the first.
     pub fn version(&self) -> u64 {
         self.plan.as_ref().map_or(0, |plan| plan.mark.version)
@@ -88,16 +101,19 @@
         match request {
             FleetRequest::Grant { name, holder, ttl_ms } => Ok(DutyTable::check(name, holder, *ttl_ms)?),
             FleetRequest::Publish { plan, .. } if !plan.is_sound() => Err(FleetError::UnsoundPlan),
-            FleetRequest::Release { .. } | FleetRequest::Publish { .. } => Ok(()),
+            FleetRequest::Release { .. } | FleetRequest::Publish { .. } | FleetRequest::Maintenance(_) => {
+                Ok(())
+            }
         }
     }
 
-    /// Applies a request.
+    /// Applies a request. `now_ms` is by the leader's monotonic clock, which leases are counted by, and `unix_ms` the
+    /// time of the day by it, which windows are.
     ///
     /// # Errors
     /// [`FleetError`]. Nothing changed.
     pub fn apply(
-        &mut self, request: &FleetRequest, now_ms: u64, at: Place,
+        &mut self, request: &FleetRequest, now_ms: u64, unix_ms: u64, at: Place,
     ) -> Result<FleetAnswer, FleetError> {
         FleetState::check(request)?;
         match request {
@@ -122,6 +138,13 @@
                 self.changes += 1;
                 Ok(FleetAnswer::Published(mark))
             }
+            FleetRequest::Maintenance(request) => {
+                if let Some(token) = request.token() {
+                    self.duties.fence(PLANNER, token)?;
+                }
+                self.maintenance.apply(request, unix_ms)?;
+                Ok(FleetAnswer::Maintained)
+            }
         }
     }
 
@@ -161,24 +184,31 @@
     fn a_plan_counts_on_only_under_the_present_token_and_no_lease_ends_by_another_leaders_clock() {
         let mut state = FleetState::default();
         let place = |term, index| Place { term, index };
-        assert_eq!(state.apply(&grant("a"), 0, place(1, 3)), Err(FleetError::Soon));
+        assert_eq!(state.apply(&grant("a"), 0, 0, place(1, 3)), Err(FleetError::Soon));
         state.renew_all(0, place(1, 4));
         let granted = |token| Ok(FleetAnswer::Granted(Grant { token, ttl_ms: 1_000 }));
-        assert_eq!(state.apply(&grant("a"), 0, place(1, 5)), granted(5));
+        assert_eq!(state.apply(&grant("a"), 0, 0, place(1, 5)), granted(5));
         let published = |token, version| Ok(FleetAnswer::Published(PlanMark { token, version }));
-        assert_eq!(state.apply(&publish(5), 10, place(1, 6)), published(5, 1));
+        assert_eq!(state.apply(&publish(5), 10, 0, place(1, 6)), published(5, 1));
         // The next leader's clock is far ahead, and it has not begun the leases anew.
         state.expire(90_000, place(2, 7));
-        assert_eq!(state.apply(&grant("b"), 90_000, place(2, 8)), Err(FleetError::Soon));
+        assert_eq!(state.apply(&grant("b"), 90_000, 0, place(2, 8)), Err(FleetError::Soon));
         state.renew_all(90_000, place(2, 9));
         let held = DutyError::Held { holder: "a".to_owned() };
-        assert_eq!(state.apply(&grant("b"), 90_999, place(2, 10)), Err(held.into()));
+        assert_eq!(state.apply(&grant("b"), 90_999, 0, place(2, 10)), Err(held.into()));
         let changes = state.changes();
         state.expire(91_000, place(2, 11));
         assert_eq!(state.changes(), changes + 1);
-        assert_eq!(state.apply(&grant("b"), 91_000, place(2, 12)), granted(12));
+        assert_eq!(state.apply(&grant("b"), 91_000, 0, place(2, 12)), granted(12));
         let stale = Err(DutyError::Stale { token: 5 }.into());
-        assert_eq!(state.apply(&publish(5), 91_000, place(2, 13)), stale);
-        assert_eq!(state.apply(&publish(12), 91_000, place(2, 14)), published(12, 2));
+        assert_eq!(state.apply(&publish(5), 91_000, 0, place(2, 13)), stale);
+        assert_eq!(state.apply(&publish(12), 91_000, 0, place(2, 14)), published(12, 2));
+        // The same of what the planner says of windows.
+        let note = |token| FleetRequest::Maintenance(Box::new(MaintenanceRequest::Note { token, work: 7.0 }));
+        let (before, stale) = (state.maintenance().clone(), Err(DutyError::Stale { token: 5 }.into()));
+        assert_eq!(state.apply(&note(5), 91_000, 9, place(2, 15)), stale);
+        assert_eq!(state.maintenance(), &before);
+        assert_eq!(state.apply(&note(12), 91_000, 9, place(2, 16)), Ok(FleetAnswer::Maintained));
+        assert_eq!(state.maintenance().profile().forecast(9, 1).mean, 7.0);
     }
 }
--- a/src/bin/listd/fleet_http.rs
+++ b/src/bin/listd/fleet_http.rs
@@ -2,15 +2,15 @@
 
 use crate::fleet::{FleetAnswer, FleetError, FleetRequest, FleetState};
 use crate::fleet_node::YOUNG;
-use crate::http::{index_and_wait, json, plain, refused_write};
+use crate::http::{index_and_wait, plain, refused_write, to_json, with};
 use crate::node::{Node, WriteError};
 use crate::store::StoreError;
+use crate::windows_http;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Response, StatusCode};
 use micapier::fleet::duty::DutyError;
 use micapier::fleet::report::{COUNTS_MS, Report, ReportError};
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -68,6 +68,7 @@
             None if query.is_empty() => to_json(&node.aged_reports(COUNTS_MS)),
             _ => plain(StatusCode::BAD_REQUEST, "the query takes an age in ms"),
         },
+        (method, ["fleet", "windows", path @ ..]) => windows_http::serve(node, method, path, body).await,
         // Taken by the leader alone: a request is passed on once.
         (&Method::POST, ["fleet", "propose"]) => {
             with(body, async |request| proposed(node.propose_here(request).await)).await
@@ -76,17 +77,6 @@
     }
 }
 
-async fn with<T: DeserializeOwned>(body: &[u8], answer: impl AsyncFnOnce(T) -> Answer) -> Answer {
-    match serde_json::from_slice(body) {
-        Ok(value) => answer(value).await,
-        Err(error) => plain(StatusCode::BAD_REQUEST, &format!("the body can't be read: {error}")),
-    }
-}
-
-fn to_json<T: Serialize>(value: &T) -> Answer {
-    json(serde_json::to_vec(value).unwrap_or_default())
-}
-
 async fn watch_duty(node: &Node, name: &str, query: &str) -> Answer {
     let Some((index, wait)) = index_and_wait(query) else {
         return plain(StatusCode::BAD_REQUEST, "the query takes index and wait in numbers");
@@ -133,7 +123,7 @@
     match answer {
         Ok(FleetAnswer::Granted(grant)) => to_json(&grant),
         Ok(FleetAnswer::Published(mark)) => to_json(&mark),
-        Ok(FleetAnswer::Released) => to_json(&serde_json::json!({})),
+        Ok(FleetAnswer::Released | FleetAnswer::Maintained) => to_json(&serde_json::json!({})),
         Err(WriteError::Refused(StoreError::Fleet(FleetError::Duty(DutyError::Held { holder })))) => {
             let mut answer = to_json(&serde_json::json!({ "holder": holder }));
             *answer.status_mut() = StatusCode::CONFLICT;
--- a/src/bin/listd/fleet_node.rs
+++ b/src/bin/listd/fleet_node.rs
@@ -45,7 +45,8 @@
     /// # Errors
     /// As [`Node::write`].
     pub async fn propose_here(&self, request: FleetRequest) -> Result<FleetAnswer, WriteError> {
-        let outcome = self.write(Command::Fleet { request, now_ms: self.now_ms() }).await?;
+        let (now_ms, unix_ms) = (self.now_ms(), self.unix_ms());
+        let outcome = self.write(Command::Fleet { request, now_ms, unix_ms }).await?;
         outcome.fleet.ok_or_else(|| WriteError::Raft("no answer to a request of the fleet".to_owned()))
     }
 
--- a/src/bin/listd/http.rs
+++ b/src/bin/listd/http.rs
@@ -11,6 +11,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::{Method, Request, Response, StatusCode};
 use micapier::fleet::duty::DutyError;
+use micapier::fleet::window::Refusal;
 use openraft::raft::AppendEntriesResponse;
 use serde::Deserialize;
 use serde::Serialize;
@@ -123,12 +124,26 @@
     }
 }
 
-pub fn json(body: Vec<u8>) -> Response<Full<Bytes>> {
+fn json(body: Vec<u8>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
     response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
     response
 }
 
+/// Answers by a value read from the body, or that it can't be read.
+pub async fn with<T: DeserializeOwned>(
+    body: &[u8], answer: impl AsyncFnOnce(T) -> Response<Full<Bytes>>,
+) -> Response<Full<Bytes>> {
+    match serde_json::from_slice(body) {
+        Ok(value) => answer(value).await,
+        Err(error) => plain(StatusCode::BAD_REQUEST, &format!("the body can't be read: {error}")),
+    }
+}
+
+pub fn to_json<T: Serialize>(value: &T) -> Response<Full<Bytes>> {
+    json(serde_json::to_vec(value).unwrap_or_default())
+}
+
 async fn register(node: &Node, id: &str, body: &[u8]) -> Response<Full<Bytes>> {
     let registration: Registration = match serde_json::from_slice(body) {
         Ok(registration) => registration,
@@ -182,6 +197,11 @@
         StoreError::Fleet(FleetError::Duty(DutyError::Malformed(_)) | FleetError::UnsoundPlan) => {
             StatusCode::BAD_REQUEST
         }
+        StoreError::Fleet(FleetError::Window(why)) => match why {
+            Refusal::Malformed(_) => StatusCode::BAD_REQUEST,
+            Refusal::UnknownSite | Refusal::UnknownWindow => StatusCode::NOT_FOUND,
+            _ => StatusCode::CONFLICT,
+        },
         StoreError::Fleet(FleetError::Soon) => StatusCode::SERVICE_UNAVAILABLE,
     };
     plain(status, &error.to_string())
--- a/src/bin/listd/main.rs
+++ b/src/bin/listd/main.rs
@@ -7,11 +7,14 @@
 mod fleet_http;
 mod fleet_node;
 mod http;
+mod maintenance;
 mod node;
 mod peers;
 mod planner;
 mod replica;
 mod store;
+mod windows_http;
+mod windows_node;
 
 use clap::Parser;
 use config::{Args, Config};
--- a/src/bin/listd/node.rs
+++ b/src/bin/listd/node.rs
@@ -6,14 +6,14 @@
 use crate::replica::{NodeId, Replica, Shared, Types};
 use crate::store::{Command, Limits, Outcome, StoreError};
 use micapier::fleet::config::FleetConfig;
-use openraft::error::{ClientWriteError, RaftError};
+use openraft::error::{CheckIsLeaderError, ClientWriteError, RaftError};
 use openraft::storage::Adaptor;
 use openraft::{BasicNode, Raft, ServerState};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -122,6 +122,33 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// The time of the day in Unix ms, by this instance's clock.
+    pub fn unix_ms(&self) -> u64 {
+        // A clock before 1970 is wrong by more than the difference.
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    }
+
+    /// Whether this instance leads and has applied all that was committed when it was asked, which a quorum confirms.
+    ///
+    /// # Errors
+    /// [`WriteError::NotLeader`] on a follower, [`WriteError::Raft`] and [`WriteError::Late`] without a quorum.
+    pub async fn leads(&self) -> Result<(), WriteError> {
+        let Ok(leads) = timeout(WRITE_PATIENCE, self.raft.ensure_linearizable()).await else {
+            return Err(WriteError::Late);
+        };
+        match leads {
+            Ok(_) => Ok(()),
+            Err(RaftError::APIError(CheckIsLeaderError::ForwardToLeader(forward))) => {
+                Err(self.not_leader(forward.leader_id))
+            }
+            Err(error) => Err(WriteError::Raft(error.to_string())),
+        }
+    }
+
+    fn not_leader(&self, leader: Option<NodeId>) -> WriteError {
+        WriteError::NotLeader(leader.and_then(|id| self.members.get(&id).copied()))
+    }
+
     /// Writes through the leader: answers once a quorum holds the command and it is applied here.
     ///
     /// # Errors
@@ -136,7 +163,7 @@
         match written {
             Ok(response) => Ok(response.data?),
             Err(RaftError::APIError(ClientWriteError::ForwardToLeader(forward))) => {
-                Err(WriteError::NotLeader(forward.leader_id.and_then(|id| self.members.get(&id).copied())))
+                Err(self.not_leader(forward.leader_id))
             }
             Err(error) => Err(WriteError::Raft(error.to_string())),
         }
--- a/src/bin/listd/store.rs
+++ b/src/bin/listd/store.rs
@@ -62,8 +62,8 @@
     /// Every lease begins a new TTL: after a restart or a change of leader, whose clock is not the one that the
     /// deadlines were set by, and while heartbeats could not reach the service.
     RenewAll { now_ms: u64 },
-    /// A write to the control plane's state.
-    Fleet { request: FleetRequest, now_ms: u64 },
+    /// A write to the control plane's state, with the time of the day in Unix ms besides.
+    Fleet { request: FleetRequest, now_ms: u64, unix_ms: u64 },
 }
 
 /// What a write did.
@@ -309,8 +309,8 @@
                 self.fleet.renew_all(*now_ms, at);
                 false
             }
-            Command::Fleet { request, now_ms } => {
-                answer = Some(self.fleet.apply(request, *now_ms, at)?);
+            Command::Fleet { request, now_ms, unix_ms } => {
+                answer = Some(self.fleet.apply(request, *now_ms, *unix_ms, at)?);
                 false
             }
         };
