listd: the planner takes the steps of windows that are due, and notes the demand

Whoever has the duty looks each tick at what the calendar says is due, by the states of the sites in its plan, and proposes the steps; it tells the sites' machines what is out, and notes the demand for the profile once a minute.

--- a/src/bin/listd/planner.rs
+++ b/src/bin/listd/planner.rs
@@ -3,12 +3,11 @@
 use crate::duty::DutyKeeper;
 use crate::fleet::FleetRequest;
 use crate::node::{Node, WriteError};
-use crate::store::{Member, Phase, StoreError};
-use micapier::fleet::capacity::Server;
+use crate::store::StoreError;
 use micapier::fleet::plan::Plan;
 use micapier::fleet::planner::{Input, Planner};
 use std::collections::BTreeMap;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::time::{MissedTickBehavior, interval};
 
 /// How often the evidence is looked at. A plan follows it within this time and the pull of the reports.
@@ -18,6 +17,7 @@
 pub async fn run(node: &Node, duty: &DutyKeeper) {
     let mut held: Option<(u64, Planner)> = None;
     let mut pulled = BTreeMap::new();
+    let mut noted_ms = 0;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     loop {
@@ -29,25 +29,37 @@
         };
         let planner = match &mut held {
             Some((of, planner)) if *of == token => planner,
-            _ => &mut held.insert((token, begin(node))).1,
+            _ => {
+                noted_ms = node.now_ms();
+                &mut held.insert((token, begin(node))).1
+            }
         };
         node.pull_reports(&mut pulled).await;
         let plan = tick(node, planner);
         // The pull took its time.
-        if duty.may_act() != Some(token) || !planner.worth_publishing(&plan, node.now_ms()) {
+        if duty.may_act() != Some(token) {
             continue;
         }
-        match node.propose(FleetRequest::Publish { token, plan: Box::new(plan.clone()) }).await {
-            Ok(_) => {
-                tell(planner, &plan);
-                planner.published(plan, node.now_ms());
-            }
-            Err(WriteError::Refused(StoreError::Fleet(error))) => {
-                tracing::warn!(%error, "the plan is refused");
-            }
-            // It is published again at the next tick, if this instance has the duty then.
-            Err(error) => tracing::debug!(%error, "the plan is not published"),
+        if planner.worth_publishing(&plan, node.now_ms()) {
+            publish(node, token, planner, &plan).await;
         }
+        // The store refuses them where the duty has gone meanwhile.
+        node.step_windows(token, &plan).await;
+        node.note_demand(token, planner.demand(), &mut noted_ms).await;
+    }
+}
+
+async fn publish(node: &Node, token: u64, planner: &mut Planner, plan: &Plan) {
+    match node.propose(FleetRequest::Publish { token, plan: Box::new(plan.clone()) }).await {
+        Ok(_) => {
+            tell(planner, plan);
+            planner.published(plan.clone(), node.now_ms());
+        }
+        Err(WriteError::Refused(StoreError::Fleet(error))) => {
+            tracing::warn!(%error, "the plan is refused");
+        }
+        // It is published again at the next tick, if this instance has the duty then.
+        Err(error) => tracing::debug!(%error, "the plan is not published"),
     }
 }
 
@@ -80,21 +92,10 @@
 
 /// One look at the evidence. It takes some ms for 300 sidecars, which raft's heartbeats can wait for.
 fn tick(node: &Node, planner: &mut Planner) -> Plan {
-    // A clock before 1970 only makes every server warm.
-    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
-    let servers: Vec<Server> = node.shared.store().whole().members.into_iter().map(server).collect();
-    let now_ms = node.now_ms();
-    let out = BTreeMap::new();
+    let servers = node.servers();
+    let (now_ms, unix_ms) = (node.now_ms(), node.unix_ms());
+    let out = node.shared.store().fleet().maintenance().calendar().sites();
     node.reports.with(now_ms, |reports| {
         planner.tick(&Input { now_ms, unix_ms, reports, servers: &servers, out: &out })
     })
 }
-
-fn server(member: &Member) -> Server {
-    Server {
-        site: member.locality.clone(),
-        size: member.size,
-        ready: member.phase == Phase::Ready,
-        up_since_ms: member.up_since_ms,
-    }
-}
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -1,6 +1,7 @@
 //! Processes of the list service for tests, and a fault proxy to put between them.
 #![allow(dead_code)]
 
+use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -391,6 +392,40 @@
     }
 }
 
+pub fn json(body: &str) -> Value {
+    serde_json::from_str(body).unwrap_or(Value::Null)
+}
+
+/// Asks whichever instance answers, until the status is one that tells of the duty or plan.
+pub fn settled(cluster: &Cluster, method: &str, path: &str, body: &str) -> (u16, Value) {
+    let began = Instant::now();
+    while began.elapsed() < PATIENCE {
+        for node in cluster.nodes.iter().flatten() {
+            if let Some((status @ (200 | 400 | 404 | 409), body, _)) =
+                node.call_within(method, path, body, WRITE * 2)
+            {
+                return (status, json(&body));
+            }
+        }
+        sleep(Duration::from_millis(20));
+    }
+    panic!("{method} {path} was never answered");
+}
+
+/// The instance that has the duty `planner`, and its token, by what any instance tells.
+pub fn planner(cluster: &Cluster) -> (usize, u64) {
+    let began = Instant::now();
+    while began.elapsed() < PATIENCE {
+        let duty = settled(cluster, "GET", "/duties/planner", "").1;
+        let id = duty["holder"].as_str().and_then(|holder| holder.split('-').nth(1)?.parse::<usize>().ok());
+        if let (Some(id), Some(token)) = (id, duty["token"].as_u64()) {
+            return (id - 1, token);
+        }
+        sleep(Duration::from_millis(20));
+    }
+    panic!("nobody took the duty");
+}
+
 /// A registration in the service's form.
 pub fn entry(id: &str, ttl_ms: Option<u64>) -> String {
     let ttl = ttl_ms.map(|ttl| format!(",\"ttl_ms\":{ttl}")).unwrap_or_default();
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -3,32 +3,12 @@
 
 mod cluster;
 
-use cluster::{Cluster, Listd, NEW_LEADER, PATIENCE, WRITE};
+use cluster::{Cluster, Listd, NEW_LEADER, PATIENCE, json, planner, settled};
 use serde_json::Value;
 use std::time::Instant;
 
 const FLEET: &str = "[fleet.sites]\npraha = { region = \"zapad\", rate = 3000.0 }\n";
 
-fn json(body: &str) -> Value {
-    serde_json::from_str(body).unwrap_or(Value::Null)
-}
-
-/// Asks whichever instance answers, until the status is one that tells of the duty or plan.
-fn settled(cluster: &Cluster, method: &str, path: &str, body: &str) -> (u16, Value) {
-    let began = Instant::now();
-    while began.elapsed() < PATIENCE {
-        for node in cluster.nodes.iter().flatten() {
-            if let Some((status @ (200 | 400 | 404 | 409), body, _)) =
-                node.call_within(method, path, body, WRITE * 2)
-            {
-                return (status, json(&body));
-            }
-        }
-        std::thread::sleep(std::time::Duration::from_millis(20));
-    }
-    panic!("{method} {path} was never answered");
-}
-
 fn grant(cluster: &Cluster, duty: &str, holder: &str, ttl_ms: u64) -> (u16, Value) {
     let body = format!(r#"{{"holder":"{holder}","ttl_ms":{ttl_ms}}}"#);
     settled(cluster, "PUT", &format!("/duties/{duty}"), &body)
@@ -38,20 +18,6 @@
     format!(r#"{{"Publish":{{"token":{token},"plan":{{"valid_ms":3000}}}}}}"#)
 }
 
-/// The instance that has the duty `planner`, and its token, by what any instance tells.
-fn planner(cluster: &Cluster) -> (usize, u64) {
-    let began = Instant::now();
-    while began.elapsed() < PATIENCE {
-        let duty = settled(cluster, "GET", "/duties/planner", "").1;
-        let id = duty["holder"].as_str().and_then(|holder| holder.split('-').nth(1)?.parse::<usize>().ok());
-        if let (Some(id), Some(token)) = (id, duty["token"].as_u64()) {
-            return (id - 1, token);
-        }
-        std::thread::sleep(std::time::Duration::from_millis(20));
-    }
-    panic!("nobody took the duty");
-}
-
 /// Waits for a holder under a higher token.
 fn next_planner(cluster: &Cluster, token: u64) -> (usize, u64) {
     let began = Instant::now();
