--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,10 +3,26 @@
 //! of a clock that the caller keeps; it only has to advance. Sites, tenants and classes go by their names here,
 //! since processes number them each in its own way.
 
+pub mod capacity;
 pub mod config;
+pub mod demand;
+pub mod duty;
+pub mod estimates;
 pub mod evidence;
 pub mod latency;
+pub mod looks;
+pub mod placement;
 pub mod plan;
+pub mod planner;
+pub mod profile;
 pub mod report;
+mod rider;
 pub mod site;
+pub mod slots;
 pub mod state;
+pub mod steering;
+#[cfg(test)]
+mod steering_tests;
+pub mod targets;
+pub mod window;
+pub mod windows;
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -1,10 +1,11 @@
 //! Processes of the list service for tests, and a fault proxy to put between them.
 #![allow(dead_code)]
 
+use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
@@ -100,11 +101,27 @@
 
     /// Pauses (SIGSTOP) or resumes (SIGCONT) the process.
     pub fn pause(&self, paused: bool) {
-        let signal = if paused { "-STOP" } else { "-CONT" };
+        self.signal(if paused { "-STOP" } else { "-CONT" });
+    }
+
+    fn signal(&self, signal: &str) {
         let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
         assert!(status.is_ok_and(|status| status.success()), "kill {signal}");
     }
 
+    /// SIGTERM; answers how the process ended, within [`PATIENCE`].
+    pub fn terminate(mut self) -> ExitStatus {
+        self.signal("-TERM");
+        let began = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("its own child") {
+                return status;
+            }
+            assert!(began.elapsed() < PATIENCE, "{} never ended", self.addr);
+            sleep(Duration::from_millis(5));
+        }
+    }
+
     /// SIGKILL, and the process reaped.
     pub fn kill(mut self) {
         self.child.kill().expect("SIGKILL");
@@ -291,6 +308,11 @@
 
 impl Cluster {
     pub fn new(dir: &Path) -> Cluster {
+        Cluster::with(dir, "")
+    }
+
+    /// The same with more tables in each instance's configuration.
+    pub fn with(dir: &Path, tables: &str) -> Cluster {
         std::fs::create_dir_all(dir).expect("a folder");
         let addrs: Vec<_> = (0..3).map(|_| free_port()).collect();
         let proxies: Vec<Vec<_>> = (0..3)
@@ -304,7 +326,7 @@
                     format!("\"{}\" = \"{}\"\n", to + 1, way.as_ref().map_or(addrs[to], |p| p.addr))
                 })
                 .collect();
-            std::fs::write(dir.join(format!("{from}.toml")), format!("[peers]\n{peers}"))
+            std::fs::write(dir.join(format!("{from}.toml")), format!("[peers]\n{peers}{tables}"))
                 .expect("a configuration");
         }
         let mut cluster = Cluster { dir: dir.to_owned(), addrs, proxies, nodes: vec![None, None, None] };
@@ -370,6 +392,40 @@
     }
 }
 
+pub fn json(body: &str) -> Value {
+    serde_json::from_str(body).unwrap_or(Value::Null)
+}
+
+/// Asks whichever instance answers, until the status is one that tells of the duty or plan.
+pub fn settled(cluster: &Cluster, method: &str, path: &str, body: &str) -> (u16, Value) {
+    let began = Instant::now();
+    while began.elapsed() < PATIENCE {
+        for node in cluster.nodes.iter().flatten() {
+            if let Some((status @ (200 | 400 | 404 | 409), body, _)) =
+                node.call_within(method, path, body, WRITE * 2)
+            {
+                return (status, json(&body));
+            }
+        }
+        sleep(Duration::from_millis(20));
+    }
+    panic!("{method} {path} was never answered");
+}
+
+/// The instance that has the duty `planner`, and its token, by what any instance tells.
+pub fn planner(cluster: &Cluster) -> (usize, u64) {
+    let began = Instant::now();
+    while began.elapsed() < PATIENCE {
+        let duty = settled(cluster, "GET", "/duties/planner", "").1;
+        let id = duty["holder"].as_str().and_then(|holder| holder.split('-').nth(1)?.parse::<usize>().ok());
+        if let (Some(id), Some(token)) = (id, duty["token"].as_u64()) {
+            return (id - 1, token);
+        }
+        sleep(Duration::from_millis(20));
+    }
+    panic!("nobody took the duty");
+}
+
 /// A registration in the service's form.
 pub fn entry(id: &str, ttl_ms: Option<u64>) -> String {
     let ttl = ttl_ms.map(|ttl| format!(",\"ttl_ms\":{ttl}")).unwrap_or_default();
