Fleet: a plan resolved to one sidecar's indices

A request must not look names up in a plan. Route holds, for one sidecar, the closed and shut zones, those on trial, shares and admitted parts by tenant index, the last line for whoever is not named. Built once a plan by Route::resolve. Names are compared as in the flat settings, so flat_name moves from the sidecar to the library. The settings' reader gives the tenants' names (orgs.N.name).

Tested: names that are not known are left out, who is not named goes by any, a lost site is open to its own.

--- a/src/bin/juniperspoke/config.rs
+++ b/src/bin/juniperspoke/config.rs
@@ -1,6 +1,7 @@
 //! What a sidecar is told at its start: the environment and its JSON into typed values.
 
 use micapier::api::Settings;
+use micapier::names::flat_name;
 use micapier::settings::{self, SettingError, Surroundings};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -109,11 +110,6 @@
     parse_addr("discovery", json["discovery"].as_str().unwrap_or_default().to_owned())
 }
 
-/// Names are compared in the form that they have in the flat settings.
-pub fn flat_name(text: &str) -> String {
-    text.replace([' ', ',', '\n', '\r'], "_")
-}
-
 /// Nested settings into the `path=value` lines that the simulator's first message has.
 fn flatten(path: &str, value: &Value, out: &mut String) {
     let below = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -1,12 +1,13 @@
 //! The list of upstreams: one whole list at first, then watches.
 
-use crate::config::{Config, flat_name};
+use crate::config::Config;
 use crate::driver::{Handle, Happening};
 use crate::upstream::TcpConnection;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
 use micapier::api::{Availability, Discovery, Listed, ServerId};
+use micapier::names::flat_name;
 use micapier::settings::Surroundings;
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -5,7 +5,7 @@
 
 use crate::bodies::{BodyError, Cut, Intake, Passing, RequestBody};
 use crate::budget::Budget;
-use crate::config::{Config, flat_name};
+use crate::config::Config;
 use crate::driver::{Answer, Handle, Inbound};
 use crate::life::{Life, Stage};
 use crate::metrics::{Ending, Metrics, Ticket};
@@ -20,6 +20,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use micapier::api::{Origin, Repeat};
+use micapier::names::flat_name;
 use std::collections::HashSet;
 use std::convert::Infallible;
 use std::hash::{BuildHasher, RandomState};
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -7,4 +7,5 @@
 pub mod latency;
 pub mod plan;
 pub mod report;
+pub mod route;
 pub mod state;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 pub mod fleet;
 #[cfg(test)]
 mod memory_tests;
+pub mod names;
 pub mod settings;
 mod state;
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -154,6 +154,8 @@
     pub kinds: Vec<String>,
     /// The names of the classes, by index.
     pub classes: Vec<String>,
+    /// The names of the tenants, by index.
+    pub tenants: Vec<String>,
     /// A connection that isn't made by then never comes up.
     pub connect_timeout: Duration,
     /// The value of a load report that the module asks for, by name; `None` where there are no reports.
@@ -169,10 +171,15 @@
     };
     let classes = pairs.need("requestClasses.count", count)?;
     let name = |i| pairs.need(&format!("requestClasses.{i}.name"), |text| Some(text.to_owned()));
+    // Tenants decide nothing by themselves: a count that can't be read is none.
+    let tenants = pairs.0.get("orgs.count").and_then(|text| count(text)).unwrap_or(0);
+    let tenant =
+        |i| pairs.0.get(format!("orgs.{i}.name").as_str()).map_or(String::new(), ToString::to_string);
     Ok(Surroundings {
         zones: list("areas"),
         kinds: list("skus"),
         classes: (0..classes).map(name).collect::<Result<_, _>>()?,
+        tenants: (0..tenants).map(tenant).collect(),
         connect_timeout: pairs.time("policyLimits.connectTimeout", 250.0)?,
         held_name: held_field(text).and_then(|at| list("report.fields").get(at).cloned()),
     })
