Module: go by the fleet's plan, where there is one

The balancer is told the plan as Event::Plan, and a request's tenant with its arrival. By it a request beyond its class's admitted part is refused at once by lot, each goes to a zone drawn by its tenant's shares and there to the better of two, nothing new goes to a closed zone, a trial zone gets safe first attempts alone, and a cold server takes at most its size by its warmth times the plan's share of the requests. A keyed repeat stays in its group. What a closed zone holds counts like what an ejected server sits on. The index of the own zone's servers becomes one of all zones'.

--- a/src/api.rs
+++ b/src/api.rs
@@ -3,7 +3,9 @@
 //! Times are [`Duration`]s. A clock reading is the time since some origin that the caller picks once
 //! and keeps; it only has to advance. Ids are opaque to the module.
 
+use crate::fleet::route::Route;
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// One server of the list, named as the caller likes.
@@ -266,6 +268,8 @@
     pub patience: Duration,
     /// Whether the client says that it tries again.
     pub origin: Origin,
+    /// Whose request it is, by index into the names that plans are resolved by; `None` where that is unknown.
+    pub tenant: Option<u16>,
 }
 
 /// Whether a request is new demand.
@@ -345,6 +349,8 @@
     List(ListNews),
     /// These servers are out of use by hand, and no others; the list has no say in it.
     Banned(Vec<ServerId>),
+    /// From now on this goes for where requests go and which are taken; `None` where the balancer judges alone.
+    Plan(Option<Arc<Route>>),
 }
 
 /// What a balancer asks its caller to do, in this order.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -55,7 +55,7 @@
 /// The average has faded after so many time constants.
 const FADED: f64 = 4.0;
 /// Random draws for candidates before all are searched.
-const DRAWS: usize = 8;
+pub(crate) const DRAWS: usize = 8;
 /// A connection is kept by this many requests in the time after which it would be closed as idle. The least
 /// servers to draw from are enough that the draw is one, also when some of them are ejected.
 const KEPT_BY: f64 = 4.0;
@@ -118,6 +118,9 @@
             Event::Timer(TimerId(mark)) => self.review(RequestId(mark as u32), out),
             Event::List(news) => self.follow_list(news, out),
             Event::Banned(servers) => self.ban(servers.into_iter().collect()),
+            // What it goes by already is no news.
+            Event::Plan(plan) if plan == self.plan => return,
+            Event::Plan(plan) => self.plan = plan,
         }
         self.dispatch(out);
     }
@@ -178,7 +181,7 @@
     // ---- requests ----
 
     fn accept(&mut self, arrival: Arrival, out: &mut Vec<Action>) {
-        let Arrival { id, class, .. } = arrival;
+        let Arrival { id, class, tenant, .. } = arrival;
         if self.requests.contains_key(&id) {
             return;
         }
@@ -202,8 +205,12 @@
         }
         let (aim, aim_at) = (whole_aim.min(patience), self.now + (whole_aim - spent).min(patience));
         cost.into_iter().for_each(|cost| follow(&mut self.means[class].cost, cost, MEAN_GAIN));
-        let job = Job { class, cost, aim_at, aim };
+        let job = Job { class, cost, aim_at, aim, tenant };
         let expected = self.expected(&job);
+        if self.turns_away(&job) {
+            let retry_after = self.advice(&job);
+            return out.push(Action::Refuse { id, retry_after });
+        }
         // A client's retry is no fresh demand: it earns no further attempt.
         if !repeat {
             self.retries = (self.retries + RETRY_SHARE).min(RETRY_BURST);
@@ -292,14 +299,18 @@
             Repeat::Safe | Repeat::Keyed { group: Group::All, .. } => true,
             _ => request.may_have_run().is_none(),
         };
-        // Guards against clients that come back when there is no time left to serve them well.
-        let spare = request.job.aim_at - self.now - self.expected(&request.job);
-        let advice = duration(if spare > 0.0 { spare * HOLD } else { request.job.aim / 2.0 });
-        let retry_after = self.settings.max_retry_after.map(|most| most.min(advice));
+        let retry_after = self.advice(&request.job);
         out.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) });
         self.conclude(id, out);
     }
 
+    /// When a client should come back. Guards against clients that do when there is no time left to serve.
+    fn advice(&self, job: &Job) -> Option<Duration> {
+        let spare = job.aim_at - self.now - self.expected(job);
+        let advice = duration(if spare > 0.0 { spare * HOLD } else { job.aim / 2.0 });
+        self.settings.max_retry_after.map(|most| most.min(advice))
+    }
+
     /// The request is over: nothing more is sent for it, and what is still out is cancelled.
     fn conclude(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
@@ -396,7 +407,8 @@
         let (job, looks) = (request.job, request.looks);
         let Some(group) = self.allowed(request) else { return self.give_up(id, out) };
         let repeat = self.settings.classes[job.class].repeat;
-        let fits = |s: &&Server| self.in_use(s) && (group.is_none() || s.group(repeat) == group);
+        let in_group = |s: &Server| group.is_none() || s.group(repeat) == group;
+        let fits = |s: &&Server| self.in_use(s) && in_group(s) && self.is_let(request, group, s.line.zone);
         let well = |c: &(ServerId, Sight)| self.servers.get(&c.0).filter(|_| c.1 == Sight::Well).filter(fits);
         let well: Vec<ServerId> = request.candidates.iter().filter_map(well).map(|s| s.line.server).collect();
         let in_time = |s: &ServerId| self.now + self.finish(&job, &self.servers[s]) <= job.aim_at;
@@ -442,19 +454,13 @@
         let draws = std::array::from_fn(|_| self.rng.u32(..) as usize);
         let request = &self.requests[&id];
         let Some(group) = self.allowed(request) else { return Vec::new() };
+        if let Some(plan) = self.plan.clone() {
+            return self.draw_by(&plan, id, group, draws);
+        }
         let class = request.job.class;
         let repeat = self.settings.classes[class].repeat;
-        // Slow start. Guards against pushing over a cold server: of all requests, at all sidecars, only a
-        // share by lot may go there, its warmth times half the multiple at which it falls. At most twice its
-        // even share is drawn to it, and a fleet that is not overloaded has room for the even share.
-        let open = self.settings.slow_start.fall_multiple / 2.0;
-        let may = |s: &Server| {
-            let in_group = group.is_none() || s.group(repeat) == group;
-            in_group && !request.knows(s.line.server) && request.lot < self.warmth(s) * open
-        };
-        // Re-entry is by a single trial, and never with a request that has only one attempt.
-        let trial = repeat != Repeat::Unsafe && self.trials >= 1.0;
-        let healthy = |s: &Server| s.health == Health::Good || trial && s.is_due(self.now);
+        let may = |s: &Server| self.may(request, group, s);
+        let healthy = |s: &Server| self.is_healthy(repeat, s);
         // Where crossing zones has a price, the draw keeps to those at home unlikely to miss the aim:
         // by Chebyshev's bound a miss is no likelier than (mean ÷ aim)², and while that is under the price,
         // crossing cannot pay. The average is a peak where a server is met often, hence the factor.
@@ -465,7 +471,8 @@
             mean < bound && self.time_there(s, class) < PEAK_OVER_MEAN * bound
         };
         let home = |s: &Server| may(s) && healthy(s) && near(s);
-        let mut found = if bound > 0.0 { self.pair(&self.home, usize::MAX, draws, home) } else { Vec::new() };
+        let of_home = self.sites.get(&self.settings.zone).filter(|_| bound > 0.0);
+        let mut found = of_home.map_or(Vec::new(), |of| self.pair(of, usize::MAX, draws, home));
         // Guards against no choice: one server that is left at home would get all that comes, and what the
         // subset lacks is looked for in the whole list. If all look bad, all are used.
         for part in [self.subset(), usize::MAX] {
@@ -488,6 +495,25 @@
         found
     }
 
+    /// May the request go to this server, whatever its health?
+    pub(crate) fn may(&self, request: &Request, group: Option<u16>, server: &Server) -> bool {
+        // Slow start. Guards against pushing over a cold server: of all requests, at all sidecars, only a
+        // share by lot may go there, its warmth times half the multiple at which it falls. At most twice its
+        // even share is drawn to it, and a fleet that is not overloaded has room for the even share.
+        let open = self.settings.slow_start.fall_multiple / 2.0;
+        let in_group = group.is_none() || {
+            let repeat = self.settings.classes[request.job.class].repeat;
+            server.group(repeat) == group
+        };
+        in_group && !request.knows(server.line.server) && request.lot < self.warmth(server) * open
+    }
+
+    /// Re-entry is by a single trial, and never with a request that has only one attempt.
+    pub(crate) fn is_healthy(&self, repeat: Repeat, server: &Server) -> bool {
+        let trial = repeat != Repeat::Unsafe && self.trials >= 1.0;
+        server.health == Health::Good || trial && server.is_due(self.now)
+    }
+
     /// Is it back by hand, and has had nothing since?
     fn is_untried(&self, server: &Server) -> bool {
         let back = self.returned.contains_key(&server.line.server);
@@ -502,14 +528,14 @@
 
     /// Subsetting: the part of the list that this sidecar draws from, as many servers as it can keep a
     /// connection to, and news of, by its own traffic. The parts of all sidecars cover the list evenly.
-    fn subset(&self) -> usize {
+    pub(crate) fn subset(&self) -> usize {
         let kept = if self.is_blind() { 1e6 } else { self.rate() * ms(self.settings.keep_alive) / KEPT_BY };
         (kept as usize).clamp(SUBSET, self.ready.len().max(SUBSET))
     }
 
     /// Two distinct random servers that fit, of this many from the own part of the list on. When a few draws
     /// don't find them, the search goes through all, from a random place on.
-    fn pair(
+    pub(crate) fn pair(
         &self, of: &[ServerId], part: usize, draws: [usize; DRAWS], fits: impl Fn(&Server) -> bool,
     ) -> Vec<ServerId> {
         let (mut pair, part) = (Vec::new(), part.min(of.len()));
@@ -541,7 +567,7 @@
         server.latency(self.now, self.typical).max(1.0) * self.fit(server, class)
     }
 
-    fn warmth(&self, server: &Server) -> f64 {
+    pub(crate) fn warmth(&self, server: &Server) -> f64 {
         self.started(server).map_or(1.0, |started| self.warmth_from(started))
     }
 
@@ -675,10 +701,10 @@
         if self.is_blind() { f64::MAX } else { self.window * self.capacity() }
     }
 
-    /// Servers in use, each counted by its warmth.
+    /// Servers in use, each counted by its warmth; what the plan closes is as good as ejected.
     fn capacity(&self) -> f64 {
         let cold = self.cold.iter().map(|&(_, started)| 1.0 - self.warmth_from(started));
-        let lost = cold.chain(self.ejected().map(|s| self.warmth(s)));
+        let lost = cold.chain(self.ejected().chain(self.closed()).map(|s| self.warmth(s)));
         (self.ready.len() as f64 - lost.sum::<f64>()).max(1.0)
     }
 
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -279,7 +279,7 @@
         self.timers.push(Reverse((by, Due::Backstop(id))));
         let patience = ends.saturating_duration_since(now).saturating_sub(2 * ANSWER_MARGIN);
         let Inbound { class, cost, origin, .. } = inbound;
-        self.handle_event(Event::Request(Arrival { id, class, cost, patience, origin }));
+        self.handle_event(Event::Request(Arrival { id, class, cost, patience, origin, tenant: None }));
     }
 
     fn step(&mut self, id: RequestId, attempt: usize, step: Step) {
@@ -492,7 +492,7 @@
         let (mut driver, handle) = Driver::new(config, upstreams, Arc::new(Notify::new()));
         // The module holds a request of the same id, and ignores another.
         let (id, patience) = (RequestId(0), Duration::from_secs(3_600));
-        let arrival = Arrival { id, class: 0, cost: None, patience, origin: Origin::Fresh };
+        let arrival = Arrival { id, class: 0, cost: None, patience, origin: Origin::Fresh, tenant: None };
         driver.balancer.handle(driver.started.1, Event::Request(arrival), &mut Vec::new());
         tokio::spawn(driver.run(None, false));
         let outbound = Outbound {
--- a/src/bin/micapier-wirehost/wire.rs
+++ b/src/bin/micapier-wirehost/wire.rs
@@ -255,6 +255,7 @@
                 cost: (attrs & 1 != 0).then(|| f.time(9)),
                 patience: f.time(25),
                 origin: if attrs & 2 != 0 { Origin::ClientRetry } else { Origin::Fresh },
+                tenant: None,
             }))
         }
         code => Ok(Record::Unknown(code)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 //!     cost: None,
 //!     patience: ms(1_000),
 //!     origin: Origin::Fresh,
+//!     tenant: None,
 //! };
 //! balancer.handle(ms(1), Event::Request(arrival), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { id: RequestId(7), .. })));
@@ -70,6 +71,7 @@
 #[cfg(test)]
 mod memory_tests;
 pub mod names;
+mod route;
 pub mod settings;
 mod state;
 
--- a/src/memory_tests.rs
+++ b/src/memory_tests.rs
@@ -44,7 +44,7 @@
             6..=50 => {
                 let (id, patience) = (RequestId(step), Duration::from_millis(1_200));
                 let (cost, origin) = (None, Origin::Fresh);
-                Event::Request(Arrival { id, class: 0, cost, patience, origin })
+                Event::Request(Arrival { id, class: 0, cost, patience, origin, tenant: None })
             }
             51..=60 => Event::Timer(TimerId(u64::from(step - rng.u32(0..99).min(step)))),
             _ => match flying.pop_first() {
@@ -102,7 +102,11 @@
     for (round, outcome, took) in [(0u32, Outcome::Ok, 100), (1, Outcome::Cancelled, 1)] {
         let start = Duration::from_secs(u64::from(round) * 2);
         let (id, took) = (RequestId(round), Duration::from_millis(took));
-        balancer.handle(start, Event::Request(Arrival { id, class: 0, cost, patience, origin }), &mut out);
+        balancer.handle(
+            start,
+            Event::Request(Arrival { id, class: 0, cost, patience, origin, tenant: None }),
+            &mut out,
+        );
         let progress = Progress::Ended;
         balancer.handle(start + took, Event::Outcome { id, attempt: 0, outcome, took, progress }, &mut out);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,9 @@
 //! What the balancer remembers: plain data and its bookkeeping. Decisions are in `balance.rs`.
 
 use crate::api::*;
+use crate::fleet::route::Route;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Weight of one fresh request in what is asked and served of each class: a longer look than a mean.
@@ -138,6 +140,8 @@
     pub aim_at: f64,
     /// What an answer may take, had the client not asked before.
     pub aim: f64,
+    /// Whose it is, if that is known.
+    pub tenant: Option<u16>,
 }
 
 pub struct Request {
@@ -154,13 +158,15 @@
     pub looks: u32,
     /// Drawn once, from 0 to 1: how cold a server it may go to.
     pub lot: f64,
+    /// By a plan: the zone drawn for its next attempt, and which attempt that is.
+    pub site: Option<(usize, u16)>,
 }
 
 impl Request {
     pub fn new(job: Job, ends: f64, hold_until: f64, lot: f64) -> Self {
         let (attempts, candidates) = (Vec::new(), Vec::new());
-        let (phase, spent, looks) = (Phase::Held, false, 0);
-        Request { job, ends, hold_until, attempts, phase, spent, candidates, looks, lot }
+        let (phase, spent, looks, site) = (Phase::Held, false, 0, None);
+        Request { job, ends, hold_until, attempts, phase, spent, candidates, looks, lot, site }
     }
 
     pub fn out(&self) -> usize {
@@ -244,9 +250,9 @@
     /// The clock at the first event.
     pub(crate) born: f64,
     pub(crate) servers: BTreeMap<ServerId, Server>,
-    /// Servers that take requests, by id; and of these the ones in the own zone, ...
+    /// Servers that take requests, by id; the same by zone, ...
     pub(crate) ready: Vec<ServerId>,
-    pub(crate) home: Vec<ServerId>,
+    pub(crate) sites: BTreeMap<u16, Vec<ServerId>>,
     /// ... those that may still be cold, with their start, and those ejected.
     pub(crate) cold: Vec<(ServerId, f64)>,
     pub(crate) ejected: BTreeSet<ServerId>,
@@ -285,6 +291,9 @@
     pub(crate) narrowest: f64,
     pub(crate) pulse_set: bool,
     pub(crate) shedding: bool,
+    /// The plan to go by, if there is one, and the requests refused by plans so far.
+    pub(crate) plan: Option<Arc<Route>>,
+    pub(crate) turned_away: u64,
 }
 
 impl Balancer {
@@ -296,7 +305,7 @@
             born: f64::INFINITY,
             servers: BTreeMap::new(),
             ready: Vec::new(),
-            home: Vec::new(),
+            sites: BTreeMap::new(),
             cold: Vec::new(),
             ejected: BTreeSet::new(),
             banned: BTreeSet::new(),
@@ -321,6 +330,8 @@
             narrowest: 0.0,
             pulse_set: false,
             shedding: false,
+            plan: None,
+            turned_away: 0,
             settings,
         }
     }
@@ -350,11 +361,13 @@
     /// bound: a server that left goes once its attempts have ended.
     fn index(&mut self, id: ServerId) {
         let Some(server) = self.servers.get(&id) else { return };
-        let (ready, home) = (self.in_use(server), server.line.zone == self.settings.zone);
+        let (ready, zone) = (self.in_use(server), server.line.zone);
         let started = self.started(server).filter(|_| ready);
         let (left, good) = (server.is(Availability::Gone), server.health == Health::Good);
         set(&mut self.ready, id, ready);
-        set(&mut self.home, id, ready && home);
+        self.sites.entry(zone).or_default();
+        self.sites.iter_mut().for_each(|(other, list)| set(list, id, ready && *other == zone));
+        self.sites.retain(|_, list| !list.is_empty());
         let warm_since = self.now - ms(self.settings.slow_start.ramp_time);
         self.cold.retain(|&(other, started)| other != id && started > warm_since);
         self.cold.extend(started.filter(|&started| started > warm_since).map(|started| (id, started)));
@@ -466,6 +479,13 @@
         self.ejected.iter().filter_map(|id| self.servers.get(id)).filter(|server| self.in_use(server))
     }
 
+    /// Servers in use of zones that the plan closes, the ejected ones aside.
+    pub(crate) fn closed(&self) -> impl Iterator<Item = &Server> {
+        let zones = self.plan.iter().flat_map(|plan| plan.closed());
+        let servers = zones.filter_map(|zone| self.sites.get(&zone)).flatten();
+        servers.filter(|id| !self.ejected.contains(id)).filter_map(|id| self.servers.get(id))
+    }
+
     /// Does it take requests, by the list and by hand?
     pub(crate) fn in_use(&self, server: &Server) -> bool {
         server.is(Availability::Ready) && !self.banned.contains(&server.line.server)
@@ -519,9 +539,10 @@
         if expected > 0.0 { self.mean_latency / expected } else { 1.0 }
     }
 
-    /// Attempts out at servers in use; what an ejected server sits on takes nothing from the others.
+    /// Attempts out at servers in use; what an ejected server sits on takes nothing from the others, nor does what
+    /// is out in a closed zone.
     pub(crate) fn in_flight(&self) -> f64 {
-        (self.flying - self.ejected().map(|s| s.flights.len()).sum::<usize>()) as f64
+        (self.flying - self.ejected().chain(self.closed()).map(|s| s.flights.len()).sum::<usize>()) as f64
     }
 
     /// What a request of this class takes at this kind of machine, against the class's mean.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -103,7 +103,7 @@
     /// A request with an id of the test's own, of this class.
     pub fn arrive(&mut self, id: u32, class: usize, patience: u64, origin: Origin) -> Vec<Action> {
         let (id, cost, patience) = (RequestId(id), None, ms(patience));
-        self.tell(Event::Request(Arrival { id, class, cost, patience, origin }))
+        self.tell(Event::Request(Arrival { id, class, cost, patience, origin, tenant: None }))
     }
 
     pub fn ask_as(&mut self, class: usize, patience: u64) -> (RequestId, Vec<Action>) {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -124,7 +124,11 @@
     b.handle(ms(0), Event::List(ListNews::Full(vec![])), &mut out);
     let id = RequestId(1);
     let (patience, origin) = (ms(300), Origin::Fresh);
-    b.handle(ms(1), Event::Request(Arrival { id, class: 0, cost: None, patience, origin }), &mut out);
+    b.handle(
+        ms(1),
+        Event::Request(Arrival { id, class: 0, cost: None, patience, origin, tenant: None }),
+        &mut out,
+    );
     let timers = out.iter().filter_map(|a| match a {
         Action::SetTimer { timer, after } if timer.0 == 1 => Some((*timer, *after)),
         _ => None,
@@ -684,6 +688,7 @@
         cost: Some(cost),
         patience: ms(900),
         origin: Origin::ClientRetry,
+        tenant: None,
     };
     assert!(sent(&rig.tell(Event::Request(arrival(5_000, ms(0))))).is_some());
     assert!(rig.tell(Event::Request(arrival(5_000, ms(0)))).is_empty(), "the same id again");
@@ -743,7 +748,8 @@
     let mut rig = rig(SAFE, 2);
     let send = |rig: &mut Rig, id: u32, cost: u64| {
         let (id, patience) = (RequestId(id), ms(1_200));
-        let arrival = Arrival { id, class: 0, cost: Some(ms(cost)), patience, origin: Origin::Fresh };
+        let arrival =
+            Arrival { id, class: 0, cost: Some(ms(cost)), patience, origin: Origin::Fresh, tenant: None };
         sent(&rig.tell(Event::Request(arrival))).expect("sent at once")
     };
     for (id, cost, took) in (0..40).map(|id| (id, 100, 100)).chain([(40, 1, 300)]) {
@@ -1030,7 +1036,7 @@
     let mut rig = Rig::new(probing(100), listed(40));
     for (round, cost) in [(0u32, 10), (1, 100), (2, 100)] {
         let (id, patience, origin) = (RequestId(round), ms(1_200), Origin::Fresh);
-        let arrival = Arrival { id, class: 0, cost: Some(ms(cost)), patience, origin };
+        let arrival = Arrival { id, class: 0, cost: Some(ms(cost)), patience, origin, tenant: None };
         let said = rig.tell(Event::Request(arrival));
         let server = probes(&said)[0];
         probed(&mut rig, server, Outcome::Ok, Some(0.0));
