--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -9,3 +9,4 @@
 pub mod report;
 pub mod route;
 pub mod state;
+pub mod tally;
