Sidecar: take part in the fleet's control plane

Where the configuration names `fleet`, a thread of its own reports each second, and early when a site newly looks dark, and watches the plan at any instance of the service. A plan is resolved there and handed to the driver by its channel with the instant at which it ends; the driver ends it by its own timer, so that a plan acts no longer than it may whatever becomes of the thread. Counts are kept by the driver and taken out by a message, so that requests never wait for a lock. The tenant is read from X-Caller. Without `fleet` there is no thread and no count.

--- a/src/bin/juniperspoke/config.rs
+++ b/src/bin/juniperspoke/config.rs
@@ -5,11 +5,16 @@
 use micapier::settings::{self, SettingError, Surroundings};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::{env, fs, io};
 
 /// The most descriptors, and megabytes of memory, where the configuration names no limit.
 const SOCKETS: usize = 1_024;
 const MEMORY_MB: f64 = 32.0;
+/// The time between two reports to the fleet's control plane, where the configuration names none, and its bounds:
+/// a report counts for 3 s, and more than ten a second tell nothing new.
+const REPORT_MS: u64 = 1_000;
+const REPORTS_MS: std::ops::RangeInclusive<u64> = 100..=1_500;
 
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -34,6 +39,8 @@
     pub discovery_peers: Vec<SocketAddr>,
     /// Where operators call; `None` where there is no door for them.
     pub control: Option<SocketAddr>,
+    /// The fleet's control plane; `None` where the sidecar is not part of one.
+    pub fleet: Option<FleetCalls>,
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
@@ -45,6 +52,14 @@
     pub surroundings: Surroundings,
 }
 
+/// Where reports go and plans come from.
+pub struct FleetCalls {
+    /// The instances of the service; one at least.
+    pub peers: Vec<SocketAddr>,
+    /// The time between two reports.
+    pub every: Duration,
+}
+
 impl Config {
     pub fn from_env() -> Result<Config, ConfigError> {
         Config::read(&file()?, |key| env::var(key).ok())
@@ -60,19 +75,18 @@
         let seed = json["seed"].as_str().unwrap_or_default();
         let seed = u64::from_str_radix(seed, 16)
             .map_err(|_| ConfigError::Value { key: "seed", text: seed.to_owned() })?;
+        let discovery_peers = match json["discovery_peers"].as_array() {
+            None => Vec::new(),
+            Some(peers) => parse_addrs("discovery_peers", peers)?,
+        };
         let mut flat = String::new();
         flatten("", &json["settings"], &mut flat);
         Ok(Config {
             name: text("name", "BALANCER_NAME"),
             listen: addr("listen", "BALANCER_LISTEN")?,
             discovery: addr("discovery", "BALANCER_DISCOVERY")?,
-            discovery_peers: match json["discovery_peers"].as_array() {
-                None => Vec::new(),
-                Some(peers) => peers
-                    .iter()
-                    .map(|peer| parse_addr("discovery_peers", peer.as_str().unwrap_or_default().to_owned()))
-                    .collect::<Result<_, _>>()?,
-            },
+            fleet: fleet(&json["fleet"], &discovery_peers)?,
+            discovery_peers,
             control: match (env("BALANCER_CONTROL"), &json["control"]) {
                 (None, Value::Null) => None,
                 (Some(text), _) => Some(parse_addr("control", text)?),
@@ -104,6 +118,31 @@
     text.parse().map_err(|_| ConfigError::Value { key, text })
 }
 
+fn parse_addrs(key: &'static str, peers: &[Value]) -> Result<Vec<SocketAddr>, ConfigError> {
+    let addr = |peer: &Value| parse_addr(key, peer.as_str().unwrap_or_default().to_owned());
+    peers.iter().map(addr).collect()
+}
+
+/// The list service's instances are those of the control plane if it names none.
+fn fleet(json: &Value, discovery_peers: &[SocketAddr]) -> Result<Option<FleetCalls>, ConfigError> {
+    let wrong = || ConfigError::Value { key: "fleet", text: json.to_string() };
+    if json.is_null() {
+        return Ok(None);
+    }
+    let peers = match &json["peers"] {
+        Value::Null => discovery_peers.to_vec(),
+        peers => parse_addrs("fleet.peers", peers.as_array().ok_or_else(wrong)?)?,
+    };
+    let every = match &json["report_ms"] {
+        Value::Null => REPORT_MS,
+        every => every.as_u64().filter(|every| REPORTS_MS.contains(every)).ok_or_else(wrong)?,
+    };
+    if !json.is_object() || peers.is_empty() {
+        return Err(wrong());
+    }
+    Ok(Some(FleetCalls { peers, every: Duration::from_millis(every) }))
+}
+
 /// Where discovery is by the file as it is now. The environment, which is from the start, no longer counts.
 pub fn discovery_now() -> Result<SocketAddr, ConfigError> {
     let json: Value = serde_json::from_str(&file()?)?;
@@ -134,10 +173,9 @@
 #[cfg(test)]
 pub mod tests {
     use super::*;
-    use std::time::Duration;
 
     pub const JSON: &str = r#"{"name":"n3","listen":"127.0.0.1:9000","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
-        "limits":{"sockets":300},"settings":{"areas":["a b","c"],"zone":1,"discovery":"pushed","orgs":[],
+        "limits":{"sockets":300},"settings":{"areas":["a b","c"],"zone":1,"discovery":"pushed","orgs":[{"name":"t u"},{"share":1}],
         "policyLimits":{"cancel":true,"connectTimeout":70},"report":{"fields":["depth","concurrent"],"how":"on_probe"},
         "requestClasses":[{"name":"pay","aim":290.0,"idempotency":"fragile"}]}}"#;
 
@@ -148,6 +186,15 @@
         assert_eq!(config.settings.classes[0].aim, Duration::from_millis(290));
         assert_eq!(config.surroundings.zones, ["a_b", "c"]);
         assert_eq!(config.surroundings.classes, ["pay"]);
+        assert_eq!(config.surroundings.tenants, ["t_u", ""]);
+        assert!(config.fleet.is_none());
+        let with = |fleet: &str| {
+            Config::read(&JSON.replacen("{\"name\"", &format!("{fleet},\"name\""), 1), |_| None)
+        };
+        let fleet =
+            with(r#"{"discovery_peers":["127.0.0.1:7"],"fleet":{"report_ms":500}"#).expect("readable").fleet;
+        let fleet = fleet.expect("on");
+        assert_eq!((fleet.peers[0].port(), fleet.every), (7, Duration::from_millis(500)));
         assert_eq!(config.surroundings.connect_timeout, Duration::from_millis(70));
         assert_eq!(config.surroundings.held_name.as_deref(), Some("concurrent"));
     }
@@ -172,6 +219,8 @@
             ("{\"name\"", "{\"control\":\"door\",\"name\"", "control: cannot read \"door\""),
             ("{\"name\"", "{\"control\":12000,\"name\"", "control: cannot read \"12000\""),
             ("{\"name\"", "{\"discovery_peers\":[\"x\"],\"name\"", "discovery_peers: cannot read \"x\""),
+            ("{\"name\"", "{\"fleet\":{},\"name\"", "fleet: cannot read"),
+            ("{\"name\"", "{\"fleet\":{\"peers\":[\"x\"]},\"name\"", "fleet.peers: cannot read"),
             ("{\"name\"", "{", "no JSON"),
         ] {
             let error = Config::read(&JSON.replacen(from, to, 1), |_| None).err().expect("an error");
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -8,6 +8,8 @@
 use crate::upstream::{Outbound, Served, Step, Target, Upstreams};
 use micapier::Balancer;
 use micapier::api::*;
+use micapier::fleet::route::Route;
+use micapier::fleet::tally::Tally;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -37,6 +39,8 @@
 pub struct Inbound {
     pub outbound: Outbound,
     pub class: usize,
+    /// Whose it is, by index into the settings' tenants.
+    pub tenant: Option<u16>,
     pub cost: Option<Duration>,
     pub origin: Origin,
     /// How long the client waits, and when that began as far as can be told.
@@ -56,6 +60,10 @@
     Lists(ServerId, oneshot::Sender<bool>),
     /// These are out of use by hand; told once nothing new goes there.
     Banned(Vec<ServerId>, oneshot::Sender<()>),
+    /// The fleet's plan, and until when it acts.
+    Plan(Arc<Route>, Instant),
+    /// Someone takes out what has been counted.
+    Counts(oneshot::Sender<Tally>),
 }
 
 /// How the other parts tell the driver what happens.
@@ -112,6 +120,11 @@
         let _ = self.call(|to| Happening::Banned(servers, to)).await;
     }
 
+    /// Takes out what has been counted for the fleet; `None` if the driver has ended.
+    pub async fn counts(&self) -> Option<Tally> {
+        self.call(Happening::Counts).await
+    }
+
     /// Hands a request over and waits for its final answer.
     pub async fn ask(&self, inbound: Inbound) -> Answer {
         let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
@@ -124,22 +137,47 @@
     }
 }
 
+/// An attempt, as it was sent.
+struct Flight {
+    /// When it was sent, or, with a body that is not held, when that had gone out.
+    sent: Instant,
+    /// How to stop it while it is out.
+    out: Option<AbortHandle>,
+    zone: u16,
+    /// Its answer has begun, and has been counted.
+    counted: bool,
+}
+
 struct Owed {
     outbound: Arc<Outbound>,
+    class: usize,
+    tenant: Option<u16>,
     /// How long the client waits from its last byte on, and until when it is answered; `None` while that byte is
     /// still to come.
     budget: Duration,
     answer_by: Option<Instant>,
     /// Gone once the client has its answer or has left.
     answer: Option<oneshot::Sender<Answer>>,
-    /// When each was sent, and how to stop it while it is out.
-    attempts: Vec<(Instant, Option<AbortHandle>)>,
+    attempts: Vec<Flight>,
 }
 
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Module(TimerId),
     Backstop(RequestId),
+    PlanEnd,
+}
+
+/// What a sidecar that is part of a fleet keeps for its control plane. Both sides hand over by messages, so that
+/// requests never wait for it.
+struct Part {
+    tally: Tally,
+    /// By the list.
+    zones: HashMap<ServerId, u16>,
+    /// Told when a zone newly looks dark.
+    dark: Arc<Notify>,
+    /// When the plan ceases to act.
+    plan_ends: Instant,
 }
 
 pub struct Driver {
@@ -157,10 +195,14 @@
     config: Arc<Config>,
     actions: Vec<Action>,
     logged: Option<(Note, Instant)>,
+    part: Option<Part>,
 }
 
 impl Driver {
-    pub fn new(config: Arc<Config>, upstreams: Upstreams, subscribe: Arc<Notify>) -> (Driver, Handle) {
+    /// `dark` is told when a zone newly looks dark, where the sidecar is part of a fleet.
+    pub fn new(
+        config: Arc<Config>, upstreams: Upstreams, subscribe: Arc<Notify>, dark: Option<Arc<Notify>>,
+    ) -> (Driver, Handle) {
         let (to, from) = mpsc::unbounded_channel();
         let (next_id, ready, told) = Default::default();
         let handle = Handle { to, next_id, ready, told };
@@ -179,6 +221,10 @@
             config,
             actions: Vec::new(),
             logged: None,
+            part: dark.map(|dark| {
+                let (tally, zones) = Default::default();
+                Part { tally, zones, dark, plan_ends: Instant::now() }
+            }),
         };
         (driver, handle)
     }
@@ -216,6 +262,7 @@
             match self.timers.pop() {
                 Some(Reverse((_, Due::Module(timer)))) => self.handle_event(Event::Timer(timer)),
                 Some(Reverse((_, Due::Backstop(id)))) => self.backstop(id),
+                Some(Reverse((_, Due::PlanEnd))) => self.end_plan(),
                 None => return,
             }
         }
@@ -266,6 +313,24 @@
                 self.ban(servers);
                 let _ = to.send(());
             }
+            Happening::Plan(route, ends) => {
+                if let Some(part) = &mut self.part {
+                    part.plan_ends = ends;
+                    self.timers.push(Reverse((ends, Due::PlanEnd)));
+                    self.handle_event(Event::Plan(Some(route)));
+                }
+            }
+            Happening::Counts(to) => {
+                drop(to.send(self.part.as_mut().map_or_else(Tally::default, |part| part.tally.take())));
+            }
+        }
+    }
+
+    /// A plan ends by this clock, whatever has become of the thread that told of it: from then on the module judges
+    /// alone, until the next one.
+    fn end_plan(&mut self) {
+        if self.part.as_ref().is_some_and(|part| part.plan_ends <= Instant::now()) {
+            self.handle_event(Event::Plan(None));
         }
     }
 
@@ -275,30 +340,42 @@
         let (outbound, budget) = (Arc::new(inbound.outbound), inbound.budget);
         let by = ends.checked_sub(ANSWER_MARGIN).unwrap_or(now);
         let (answer, answer_by, attempts) = (Some(answer), Some(by), Vec::new());
-        self.requests.insert(id, Owed { outbound, budget, answer_by, answer, attempts });
+        let Inbound { class, tenant, cost, origin, .. } = inbound;
+        self.requests.insert(id, Owed { outbound, class, tenant, budget, answer_by, answer, attempts });
         self.timers.push(Reverse((by, Due::Backstop(id))));
         let patience = ends.saturating_duration_since(now).saturating_sub(2 * ANSWER_MARGIN);
-        let Inbound { class, cost, origin, .. } = inbound;
-        self.handle_event(Event::Request(Arrival { id, class, cost, patience, origin, tenant: None }));
+        let turned_away = self.balancer.turned_away();
+        let counted = self.part.as_mut().filter(|_| origin == Origin::Fresh);
+        if let Some(part) = counted {
+            part.tally.note_request(tenant, class, cost.map(|cost| cost.as_secs_f64() * 1e3));
+        }
+        self.handle_event(Event::Request(Arrival { id, class, cost, patience, origin, tenant }));
+        let refused = origin == Origin::Fresh && self.balancer.turned_away() > turned_away;
+        if let Some(part) = self.part.as_mut().filter(|_| refused) {
+            part.tally.note_refused(tenant, class);
+        }
     }
 
     fn step(&mut self, id: RequestId, attempt: usize, step: Step) {
         let Some(owed) = self.requests.get_mut(&id) else { return };
-        let Some((sent, Some(_))) = owed.attempts.get_mut(attempt) else { return };
+        let Some(flight) = owed.attempts.get_mut(attempt).filter(|flight| flight.out.is_some()) else {
+            return;
+        };
         match step {
             Step::Uploading => {
                 owed.answer_by = None;
                 self.handle_event(Event::Uploading { id, attempt });
             }
             Step::Uploaded => {
-                *sent = Instant::now();
-                let by = *sent + owed.budget.saturating_sub(ANSWER_MARGIN);
+                flight.sent = Instant::now();
+                let by = flight.sent + owed.budget.saturating_sub(ANSWER_MARGIN);
                 owed.answer_by = Some(by);
                 self.timers.push(Reverse((by, Due::Backstop(id))));
                 self.handle_event(Event::Uploaded { id, attempt });
             }
             Step::Started(passing) => {
-                let took = sent.elapsed();
+                let took = flight.sent.elapsed();
+                self.count_outcome(id, attempt, Outcome::Ok, took);
                 self.answer(id, Answer::Passing(passing));
                 self.handle_event(Event::StreamStarted { id, attempt, took });
             }
@@ -308,12 +385,13 @@
 
     fn attempt_ended(&mut self, id: RequestId, attempt: usize, outcome: Outcome, served: Served) {
         let Some(owed) = self.requests.get_mut(&id) else { return };
-        let Some((sent, out)) = owed.attempts.get_mut(attempt) else { return };
+        let Some(flight) = owed.attempts.get_mut(attempt) else { return };
         // Guards against the late outcome of an attempt that was cancelled: it has had its own.
-        if out.take().is_none() {
+        if flight.out.take().is_none() {
             return;
         }
-        let took = sent.elapsed();
+        let took = flight.sent.elapsed();
+        self.count_outcome(id, attempt, outcome, took);
         if outcome == Outcome::Ok {
             self.answer(id, Answer::Served(served));
         }
@@ -323,6 +401,20 @@
         self.forget(id);
     }
 
+    /// Counts how an attempt ended, or that its answer has begun, once.
+    fn count_outcome(&mut self, id: RequestId, attempt: usize, outcome: Outcome, took: Duration) {
+        let (Some(part), Some(owed)) = (&mut self.part, self.requests.get_mut(&id)) else { return };
+        let whose = (owed.tenant, owed.class);
+        let Some(flight) = owed.attempts.get_mut(attempt) else { return };
+        if std::mem::replace(&mut flight.counted, true) {
+            return;
+        }
+        part.tally.note_outcome(flight.zone, whose, outcome, took.as_secs_f64() * 1e3);
+        if outcome != Outcome::Ok && part.tally.turned_dark() {
+            part.dark.notify_one();
+        }
+    }
+
     fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(to) = self.requests.get_mut(&id).and_then(|owed| owed.answer.take()) {
             // A client that has just left needs none.
@@ -332,7 +424,7 @@
 
     /// A request goes once it is answered and nothing is out for it.
     fn forget(&mut self, id: RequestId) {
-        let over = |owed: &Owed| owed.answer.is_none() && owed.attempts.iter().all(|a| a.1.is_none());
+        let over = |owed: &Owed| owed.answer.is_none() && owed.attempts.iter().all(|a| a.out.is_none());
         if self.requests.get(&id).is_some_and(over) {
             self.requests.remove(&id);
         }
@@ -364,9 +456,9 @@
             }
             Action::Cancel { id, attempt } => {
                 let owed = self.requests.get_mut(&id)?;
-                let (sent, out) = owed.attempts.get_mut(attempt)?;
-                out.take()?.abort();
-                let took = sent.elapsed();
+                let flight = owed.attempts.get_mut(attempt)?;
+                flight.out.take()?.abort();
+                let took = flight.sent.elapsed();
                 let progress = if owed.answer.is_some() { Progress::Owed } else { Progress::Ended };
                 self.forget(id);
                 return Some(Event::Outcome { id, attempt, outcome: Outcome::Cancelled, took, progress });
@@ -410,20 +502,36 @@
         // Guards against sends after the end, and to an upstream that the list has taken back.
         let target = self.servers.get(&server).filter(|_| owed.answer.is_some()).cloned();
         let Some(target) = target else {
-            owed.attempts.push((now, None));
+            owed.attempts.push(Flight { sent: now, out: None, zone: u16::MAX, counted: false });
             let progress = if owed.answer.is_some() { Progress::Owed } else { Progress::Ended };
             let (outcome, took) = (Outcome::Moot, Duration::ZERO);
             return Some(Event::Outcome { id, attempt, outcome, took, progress });
         };
         let handle = self.handle.clone();
         let report = Arc::new(move |step| handle.tell(Happening::Attempt(id, attempt, step)));
+        let zone = self.part.as_ref().and_then(|part| part.zones.get(&server)).copied().unwrap_or(u16::MAX);
         let task = self.upstreams.clone().attempt(target, owed.outbound.clone(), timeout, report);
-        owed.attempts.push((now, Some(tokio::spawn(task).abort_handle())));
+        let out = Some(tokio::spawn(task).abort_handle());
+        owed.attempts.push(Flight { sent: now, out, zone, counted: false });
+        if let Some(part) = &mut self.part {
+            part.tally.note_sent(zone, owed.tenant);
+        }
         None
     }
 
     /// Brings the addresses up to date; the lines go on to the module.
     fn take_over(&mut self, news: News) -> (bool, Vec<Listed>) {
+        if let Some(part) = &mut self.part {
+            if news.complete {
+                part.zones.clear();
+            }
+            for (line, _) in &news.members {
+                match line.availability {
+                    Availability::Gone => drop(part.zones.remove(&line.server)),
+                    _ => drop(part.zones.insert(line.server, line.zone)),
+                }
+            }
+        }
         let mut named = HashSet::new();
         for (line, addr) in &news.members {
             let ready = line.availability == Availability::Ready;
@@ -489,7 +597,7 @@
     async fn a_request_that_the_module_is_silent_about_is_answered_in_time() {
         let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
         let upstreams = Upstreams::new(1, Duration::ZERO, Duration::ZERO, Metrics::new(&[]), Budget::new(0));
-        let (mut driver, handle) = Driver::new(config, upstreams, Arc::new(Notify::new()));
+        let (mut driver, handle) = Driver::new(config, upstreams, Arc::new(Notify::new()), None);
         // The module holds a request of the same id, and ignores another.
         let (id, patience) = (RequestId(0), Duration::from_secs(3_600));
         let arrival = Arrival { id, class: 0, cost: None, patience, origin: Origin::Fresh, tenant: None };
@@ -502,7 +610,8 @@
             body: RequestBody::Held(Bytes::new()),
         };
         let (since, budget) = (Instant::now(), Duration::from_millis(200));
-        let inbound = Inbound { outbound, class: 0, cost: None, origin: Origin::Fresh, budget, since };
+        let (cost, tenant, origin) = (None, None, Origin::Fresh);
+        let inbound = Inbound { outbound, class: 0, tenant, cost, origin, budget, since };
         let answer = tokio::time::timeout(Duration::from_secs(30), handle.ask(inbound)).await;
         assert!(matches!(answer.expect("an answer"), Answer::Failed));
         assert!(since.elapsed() >= budget - ANSWER_MARGIN, "the module had its time");
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -9,6 +9,7 @@
 mod control;
 mod discovery;
 mod driver;
+mod fleet;
 mod framing;
 mod idle;
 mod life;
@@ -91,6 +92,7 @@
         None => listener::bind("listen", config.listen).await?,
     };
     let places = if control.is_some() { control::PLACES } else { 0 };
+    let places = places + if config.fleet.is_some() { fleet::PLACES } else { 0 };
     let connections = (config.sockets / parts).saturating_sub(RESERVED + places);
     let memory = config.memory / parts;
     let connections = connections.min(memory / 2 / BUFFERS);
@@ -102,7 +104,8 @@
     let metrics = Metrics::new(&config.surroundings.classes);
     let upstreams = Upstreams::new(upstreams.max(1), settings.0, settings.1, metrics.clone(), budget.clone());
     let subscribe = Arc::new(Notify::new());
-    let (driver, handle) = Driver::new(config.clone(), upstreams, subscribe.clone());
+    let dark = config.fleet.as_ref().map(|_| Arc::new(Notify::new()));
+    let (driver, handle) = Driver::new(config.clone(), upstreams, subscribe.clone(), dark.clone());
     let known = match discovery::read(&config.known, &config.surroundings) {
         Ok(known) => Some(known),
         Err(error) => {
@@ -128,6 +131,9 @@
     let (moved, at) = watch::channel(config.discovery);
     tokio::spawn(reload(hangup, moved));
     tokio::spawn(discovery::follow(config.clone(), at, revision, subscribe, handle.clone()));
+    if let Some(dark) = dark {
+        fleet::start(config.clone(), handle.clone(), dark)?;
+    }
     eprintln!("{}: listening on {}", config.name, listener.local_addr()?);
     let listening = tokio::spawn({
         let server = server.clone();
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -276,6 +276,11 @@
         let cost = cost.and_then(|us| Duration::try_from_secs_f64(us / 1e6).ok());
         let again = text(&head.headers, "x-again") == Some("1");
         let origin = if again { Origin::ClientRetry } else { Origin::Fresh };
+        // A tenant is of interest to the fleet's plan alone, and who is not in the settings has no name there.
+        let caller = text(&head.headers, "x-caller").map(flat_name).filter(|name| !name.is_empty());
+        let tenants = &self.config.surroundings.tenants;
+        let tenant = caller.and_then(|caller| tenants.iter().position(|name| *name == caller));
+        let tenant = tenant.and_then(|at| u16::try_from(at).ok());
         let patience = newcomer.map_or(BODY_PATIENCE, |since| NEWCOMER.saturating_sub(since.elapsed()));
         let body =
             Intake::new(body, patience).read(|bytes| self.budget.take(bytes)).await.map_err(improper)?;
@@ -292,7 +297,7 @@
         KEPT_BACK.iter().for_each(|name| drop(headers.remove(*name)));
         headers.entry(HOST).or_insert(HeaderValue::from_static("origin.svc"));
         let outbound = Outbound { method: head.method, uri: head.uri, headers, body };
-        Ok(Inbound { outbound, class, cost, origin, budget, since })
+        Ok(Inbound { outbound, class, tenant, cost, origin, budget, since })
     }
 }
 
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -124,6 +124,12 @@
         (now_ms < since + plan.valid_ms).then_some(plan)
     }
 
+    /// The mark of the plan to go by at `now_ms` and for how long in ms it has been gone by, if one still acts.
+    pub fn acting_since(&self, now_ms: u64) -> Option<(PlanMark, u64)> {
+        let (plan, since) = self.plan.as_ref()?;
+        self.acting(now_ms).map(|_| (plan.mark, now_ms.saturating_sub(*since)))
+    }
+
     /// When the plan held stops acting, in ms.
     pub fn acts_until(&self) -> Option<u64> {
         self.plan.as_ref().map(|(plan, since)| since + plan.valid_ms)
@@ -143,6 +149,8 @@
         let mut held = Held::default();
         assert_eq!(held.take(plan(2, 7), 100), Ok(()));
         assert!(held.acting(3_099).is_some() && held.acting(3_100).is_none());
+        assert_eq!(held.acting_since(3_099), Some((PlanMark { token: 2, version: 7 }, 2_999)));
+        assert_eq!(held.acting_since(3_100), None);
         for (token, version) in [(2, 7), (2, 6), (1, 99)] {
             assert!(matches!(held.take(plan(token, version), 200), Err(PlanError::Older(..))));
         }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -643,6 +643,13 @@
         line.trim().trim_end_matches(" kB").parse().expect("kilobytes")
     }
 
+    /// Whether it has a thread of this name.
+    pub fn has_thread(&self, name: &str) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.process.id())).expect("its threads");
+        let named = |task: std::fs::DirEntry| std::fs::read_to_string(task.path().join("comm"));
+        tasks.flatten().any(|task| named(task).is_ok_and(|comm| comm.trim() == name))
+    }
+
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.process.id())).expect("its descriptors").count()
     }
