--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,5 +1,6 @@
 //! All decisions of the balancer: power of two choices over peak-EWMA latency, and what happens around it
-//! when servers fail. The interface is in `src/api.rs`, plain memory in `src/state.rs`.
+//! when servers fail. What a fleet's plan changes is in `src/route.rs`, the interface in `src/api.rs`, plain
+//! memory in `src/state.rs`.
 
 use crate::api::*;
 use crate::state::*;
@@ -684,7 +685,8 @@
     /// known as far slower than the rest tells of that server alone, and the score sees to it.
     fn narrow(&mut self, server: ServerId, sent: f64) {
         let slow = |s: &Server| s.average(self.now, self.typical) > OUTLIER * self.typical;
-        let outlier = |s: &Server| s.health != Health::Good || slow(s);
+        let lost = |s: &Server| self.plan.as_ref().is_some_and(|plan| !plan.is_open(s.line.zone));
+        let outlier = |s: &Server| s.health != Health::Good || slow(s) || lost(s);
         if self.servers.get(&server).is_some_and(outlier) {
             return;
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,4 +1,4 @@
-//! What the balancer remembers: plain data and its bookkeeping. Decisions are in `balance.rs`.
+//! What the balancer remembers: plain data and its bookkeeping. Decisions are in `balance.rs` and `route.rs`.
 
 use crate::api::*;
 use crate::fleet::route::Route;
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -210,6 +210,19 @@
     assert_eq!(to_dark, 0, "ejected, and no trial with what may not be repeated");
 }
 
+#[test]
+fn what_is_out_in_a_zone_that_is_lost_holds_nothing_up() {
+    let mut rig = rig(2, &shared(&[("b", 1.0)]));
+    let out = (0..40).take_while(|&id| zone(&mut rig, id, 0, None, None).is_some()).count();
+    assert!((5..40).contains(&out), "{out} fill the window");
+    let said = rig.tell(told(&Plan { sites: map(&[("b", SiteState::Lost)]), ..shared(&[("a", 1.0)]) }));
+    assert!(sent(&said).is_some_and(|server| server.0 < 100), "{said:?}");
+    // Nor does their silence tell of a crowd: as many as may be out at what is left go out at once.
+    rig.wait(600);
+    let more = (100..140).take_while(|&id| zone(&mut rig, id, 0, None, None).is_some()).count();
+    assert!(more >= 4, "{more}");
+}
+
 #[test]
 fn a_request_beyond_the_admitted_part_is_refused_at_once_and_one_within_it_by_no_lot() {
     let mut plan = shared(&[("a", 1.0), ("b", 1.0)]);
