--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,12 +17,14 @@
 pub mod profile;
 pub mod report;
 mod rider;
+pub mod route;
 pub mod site;
 pub mod slots;
 pub mod state;
 pub mod steering;
 #[cfg(test)]
 mod steering_tests;
+pub mod tally;
 pub mod targets;
 pub mod window;
 pub mod windows;
