Sidecar: break the import circle of driver, discovery and bans

driver.rs imported discovery.rs and bans.rs, which imported driver.rs. What passes between the parts and the driver (Handle, Happening, Answer, Inbound) goes to handle.rs, and the reading of a list (News, server_id, Names) to list.rs. No change of behaviour; the graph of `use crate::` edges of all files has a topological order now.

--- a/src/bin/juniperspoke/bans.rs
+++ b/src/bin/juniperspoke/bans.rs
@@ -1,9 +1,9 @@
 //! The upstreams that operators have taken out of use: a file in `$TMPDIR` that all processes of a sidecar share
 //! and that outlives each of them.
 
-use crate::driver::Handle;
+use crate::handle::Handle;
+use crate::list::Names;
 use serde_json::{Value, json};
-use std::collections::BTreeSet;
 use std::fs::{self, File, Metadata, TryLockError};
 use std::io;
 use std::os::unix::fs::MetadataExt;
@@ -29,9 +29,6 @@
     Locked(PathBuf),
 }
 
-/// Upstreams by the ids that discovery names.
-pub type Names = BTreeSet<String>;
-
 /// What this process knows of the file.
 struct Known {
     names: Names,
--- a/src/bin/juniperspoke/control.rs
+++ b/src/bin/juniperspoke/control.rs
@@ -1,7 +1,7 @@
 //! The door for operators: parses their calls, asks whoever owns what they are about, and words the answers.
 
 use crate::bans::Bans;
-use crate::driver::Handle;
+use crate::handle::Handle;
 use crate::life::{Life, Stage};
 use crate::metrics::Metrics;
 use bytes::Bytes;
--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -1,14 +1,14 @@
 //! The list of upstreams: one whole list at first, then watches.
 
-use crate::config::{Config, flat_name};
-use crate::driver::{Handle, Happening};
+use crate::config::Config;
+use crate::handle::{Handle, Happening};
+use crate::list::{self, ListError, News};
 use crate::upstream::TcpConnection;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
-use micapier::api::{Availability, Discovery, Listed, ServerId};
+use micapier::api::Discovery;
 use micapier::settings::Surroundings;
-use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,70 +51,12 @@
     Status(StatusCode),
     #[error("no JSON: {0}")]
     Json(#[from] serde_json::Error),
-    #[error("the list has no {0}")]
-    Form(&'static str),
+    #[error(transparent)]
+    List(#[from] ListError),
     #[error("an instance behind: revision {0} where {1} was taken")]
     Behind(u64, u64),
 }
 
-/// One answer of discovery.
-pub struct News {
-    pub revision: u64,
-    pub complete: bool,
-    pub members: Vec<(Listed, SocketAddr)>,
-}
-
-/// An id is the same at every sidecar, and so is its number: all sort the list alike.
-pub fn server_id(name: &str) -> ServerId {
-    // FNV-1a.
-    ServerId(
-        name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        }),
-    )
-}
-
-/// Reads a list in discovery's form. Guards against a line that can't be read: it is left out, the rest counts.
-pub fn read(list: &Value, names: &Surroundings) -> Result<News, DiscoveryError> {
-    let revision = list["revision"].as_u64().ok_or(DiscoveryError::Form("revision"))?;
-    let complete = list["complete"].as_bool().ok_or(DiscoveryError::Form("complete"))?;
-    let members = list["members"].as_array().ok_or(DiscoveryError::Form("members"))?;
-    let members = members.iter().filter_map(|member| {
-        let line = line(member, names);
-        if line.is_none() {
-            eprintln!("skipped a line of the list: {member}");
-        }
-        line
-    });
-    Ok(News { revision, complete, members: members.collect() })
-}
-
-fn line(member: &Value, names: &Surroundings) -> Option<(Listed, SocketAddr)> {
-    let place = |of: &[String], key: &str| {
-        let name = flat_name(member[key].as_str().unwrap_or_default());
-        of.iter().position(|other| *other == name)
-    };
-    let availability = match member["phase"].as_str()? {
-        "Ready" => Availability::Ready,
-        "Terminating" => Availability::Draining,
-        "Gone" => Availability::Gone,
-        _ => return None,
-    };
-    // Unix time is the driver's clock as well; 0 is long ago.
-    let since = member["up_since_ms"].as_f64().filter(|&ms| ms > 0.0);
-    let listed = Listed {
-        server: server_id(member["id"].as_str()?),
-        availability,
-        cell: member["cell"].as_u64().and_then(|cell| u16::try_from(cell).ok())?,
-        // A zone or kind that the settings don't name is nobody's.
-        zone: place(&names.zones, "locality").map_or(u16::MAX, |at| at as u16),
-        kind: place(&names.kinds, "flavor").map_or(u8::MAX, |at| at as u8),
-        weight: member["size"].as_f64().unwrap_or(1.0),
-        started: since.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok()),
-    };
-    Some((listed, member["host_port"].as_str()?.parse().ok()?))
-}
-
 /// What comes before the next call.
 enum Pause {
     TillSubscribed,
@@ -284,7 +226,7 @@
         None => "/registry/instances".to_owned(),
     };
     let request = Request::get(uri).header("Host", addr.to_string()).body(Empty::new());
-    let request = request.map_err(|_| DiscoveryError::Form("address"))?;
+    let request = request.map_err(|_| ListError("address"))?;
     connection.sender.ready().await?;
     let answer = connection.sender.send_request(request).await?;
     let status = answer.status();
@@ -293,10 +235,10 @@
         return Err(DiscoveryError::Status(status));
     }
     *kept = Some(connection);
-    let news = read(&serde_json::from_slice(&body.to_bytes())?, names)?;
+    let news = list::read(&serde_json::from_slice(&body.to_bytes())?, names)?;
     // Guards against asking for the whole list without a pause when changes are all that comes.
     if held.is_none() && !news.complete {
-        return Err(DiscoveryError::Form("all of its lines"));
+        return Err(ListError("all of its lines").into());
     }
     Ok(news)
 }
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -1,17 +1,16 @@
 //! Owns the decisions: turns what happens into the module's events, carries its actions out in order, and is
 //! the one place that knows who is still owed an answer.
 
-use crate::bans::Names;
-use crate::bodies::Passing;
 use crate::config::Config;
-use crate::discovery::{News, server_id};
+use crate::handle::{Answer, Handle, Happening, Inbound};
+use crate::list::News;
 use crate::upstream::{Outbound, Served, Step, Target, Upstreams};
 use micapier::Balancer;
 use micapier::api::*;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::AbortHandle;
@@ -24,106 +23,6 @@
 /// The same note is logged again after so long.
 const LOG_AGAIN: Duration = Duration::from_secs(10);
 
-/// The final answer to a client.
-pub enum Answer {
-    Served(Served),
-    /// A long one, as it comes.
-    Passing(Box<Passing>),
-    Refused(Option<Duration>),
-    Failed,
-}
-
-/// A client's request, read to its end.
-pub struct Inbound {
-    pub outbound: Outbound,
-    pub class: usize,
-    pub cost: Option<Duration>,
-    pub origin: Origin,
-    /// How long the client waits, and when that began as far as can be told.
-    pub budget: Duration,
-    pub since: Instant,
-}
-
-pub enum Happening {
-    Request(RequestId, Box<Inbound>, oneshot::Sender<Answer>),
-    HungUp(RequestId),
-    Attempt(RequestId, usize, Step),
-    Probed(ServerId, Outcome, Option<f64>),
-    List(News),
-    ListFailed,
-    /// Someone asks for these figures, or whether the list names an upstream.
-    Hosts(oneshot::Sender<Hosts>),
-    Lists(ServerId, oneshot::Sender<bool>),
-    /// These are out of use by hand; told once nothing new goes there.
-    Banned(Vec<ServerId>, oneshot::Sender<()>),
-}
-
-/// How the other parts tell the driver what happens.
-#[derive(Clone)]
-pub struct Handle {
-    to: mpsc::UnboundedSender<Happening>,
-    next_id: Arc<AtomicU32>,
-    ready: Arc<AtomicBool>,
-    /// Has discovery spoken, if only to fail, where it is waited for?
-    told: Arc<AtomicBool>,
-}
-
-/// Tells that the client has left if it goes before its answer.
-struct Waiting<'a>(&'a Handle, RequestId);
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.0.tell(Happening::HungUp(self.1));
-    }
-}
-
-impl Handle {
-    pub fn tell(&self, happening: Happening) {
-        // Without a driver the process is about to end.
-        drop(self.to.send(happening));
-    }
-
-    /// Are there upstreams to send to, by a list that is not known to be behind?
-    pub fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Relaxed) && self.told.load(Ordering::Relaxed)
-    }
-
-    /// Asks the driver; `None` if it has ended.
-    async fn call<T>(&self, happening: impl FnOnce(oneshot::Sender<T>) -> Happening) -> Option<T> {
-        let (to, answer) = oneshot::channel();
-        self.tell(happening(to));
-        answer.await.ok()
-    }
-
-    /// `None` if the driver has ended.
-    pub async fn hosts(&self) -> Option<Hosts> {
-        self.call(Happening::Hosts).await
-    }
-
-    /// Does the list name this upstream?
-    pub async fn lists(&self, name: &str) -> bool {
-        self.call(|to| Happening::Lists(server_id(name), to)).await.unwrap_or(false)
-    }
-
-    /// These upstreams are out of use by hand, and no others; back once nothing new goes there.
-    pub async fn ban(&self, names: Names) {
-        let servers = names.iter().map(|name| server_id(name)).collect();
-        // Without a driver nothing goes anywhere.
-        let _ = self.call(|to| Happening::Banned(servers, to)).await;
-    }
-
-    /// Hands a request over and waits for its final answer.
-    pub async fn ask(&self, inbound: Inbound) -> Answer {
-        let id = RequestId(self.next_id.fetch_add(1, Ordering::Relaxed));
-        let (to, answer) = oneshot::channel();
-        self.tell(Happening::Request(id, Box::new(inbound), to));
-        let waiting = Waiting(self, id);
-        let answer = answer.await.unwrap_or(Answer::Failed);
-        std::mem::forget(waiting);
-        answer
-    }
-}
-
 struct Owed {
     outbound: Arc<Outbound>,
     /// How long the client waits from its last byte on, and until when it is answered; `None` while that byte is
@@ -161,9 +60,7 @@
 
 impl Driver {
     pub fn new(config: Arc<Config>, upstreams: Upstreams, subscribe: Arc<Notify>) -> (Driver, Handle) {
-        let (to, from) = mpsc::unbounded_channel();
-        let (next_id, ready, told) = Default::default();
-        let handle = Handle { to, next_id, ready, told };
+        let (handle, from) = Handle::new();
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let driver = Driver {
             balancer: Balancer::new(config.settings.clone(), config.seed),
@@ -188,7 +85,7 @@
     pub async fn run(mut self, known: Option<News>, beside: bool) {
         let lines = known.map_or(Vec::new(), |known| self.take_over(known).1);
         let cached = if beside { ListNews::Inherited(lines) } else { ListNews::Cached(lines) };
-        self.handle.told.store(!beside, Ordering::Relaxed);
+        self.handle.set_told(!beside);
         self.handle_event(Event::List(cached));
         loop {
             self.fire();
@@ -248,7 +145,7 @@
                 self.handle_event(Event::Probed { server, outcome, held });
             }
             Happening::List(news) => {
-                self.handle.told.store(true, Ordering::Relaxed);
+                self.handle.set_told(true);
                 let (complete, lines) = self.take_over(news);
                 if complete || !lines.is_empty() {
                     let news = if complete { ListNews::Full(lines) } else { ListNews::Delta(lines) };
@@ -256,7 +153,7 @@
                 }
             }
             Happening::ListFailed => {
-                self.handle.told.store(true, Ordering::Relaxed);
+                self.handle.set_told(true);
                 self.handle_event(Event::List(ListNews::Failed));
             }
             // Whoever asked may have left.
@@ -442,7 +339,7 @@
             left.into_iter().for_each(|id| self.close(id));
         }
         self.close_unused();
-        self.handle.ready.store(!self.servers.is_empty(), Ordering::Relaxed);
+        self.handle.set_ready(!self.servers.is_empty());
         (news.complete, news.members.into_iter().map(|(line, _)| line).collect())
     }
 
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -10,8 +10,10 @@
 mod discovery;
 mod driver;
 mod framing;
+mod handle;
 mod idle;
 mod life;
+mod list;
 mod listener;
 mod metrics;
 mod peer;
@@ -102,7 +104,7 @@
     let upstreams = Upstreams::new(upstreams.max(1), settings.0, settings.1, metrics.clone(), budget.clone());
     let subscribe = Arc::new(Notify::new());
     let (driver, handle) = Driver::new(config.clone(), upstreams, subscribe.clone());
-    let known = match discovery::read(&config.known, &config.surroundings) {
+    let known = match list::read(&config.known, &config.surroundings) {
         Ok(known) => Some(known),
         Err(error) => {
             eprintln!("{}: starting without a known list: {error}", config.name);
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -6,7 +6,7 @@
 use crate::bodies::{BodyError, Cut, Intake, Passing, RequestBody};
 use crate::budget::Budget;
 use crate::config::{Config, flat_name};
-use crate::driver::{Answer, Handle, Inbound};
+use crate::handle::{Answer, Handle, Inbound};
 use crate::life::{Life, Stage};
 use crate::metrics::{Ending, Metrics, Ticket};
 use crate::peer::Peer;
