--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Config;
 use crate::handle::{Handle, Happening};
+use crate::instances::Instances;
 use crate::list::{self, ListError, News};
 use crate::upstream::TcpConnection;
 use bytes::Bytes;
@@ -29,11 +30,6 @@
 /// The wait after a call that failed where discovery has moved and not answered yet: what it has to tell counts
 /// as told some seconds after the move, sooner than the module would ask again.
 const MOVED_AGAIN: Duration = Duration::from_millis(250);
-/// Waits after failed calls to a replicated list service, full jitter within a bound that doubles from the first
-/// to the last: 300 sidecars that lost it come back spread over seconds, not in one wave, and each is back within
-/// 5 s of its return.
-const PEER_BACKOFF: Duration = Duration::from_millis(100);
-const PEER_BACKOFF_MOST: Duration = Duration::from_secs(5);
 /// A list is larger than a request's body: some hundred bytes for each upstream.
 const MAX_LIST: usize = 4 * 1024 * 1024;
 
@@ -70,53 +66,30 @@
     }
 }
 
-/// The instances of a replicated list service, asked in turn: the next one after a failure, or after an answer
-/// older than the list taken. Each sidecar begins at a random one, so that the fleet's calls are spread.
-struct Instances {
-    all: Vec<SocketAddr>,
-    at: usize,
-    rng: fastrand::Rng,
-    backoff: Duration,
+/// The instances of a replicated list service and what was taken from them: an answer older than that is refused
+/// as a failure is.
+struct Replicated {
+    instances: Instances,
     /// The revision last taken from the service; the known list of the start may count otherwise.
     floor: Option<u64>,
     /// Answers in a row that were behind the floor or called the revision asked for one from the future.
     refusals: usize,
 }
 
-impl Instances {
-    fn new(all: Vec<SocketAddr>, seed: u64) -> Option<Instances> {
-        let mut rng = fastrand::Rng::with_seed(seed);
-        let at = rng.usize(..all.len().max(1));
-        (!all.is_empty()).then_some(Instances {
-            all,
-            at,
-            rng,
-            backoff: PEER_BACKOFF,
-            floor: None,
-            refusals: 0,
-        })
+impl Replicated {
+    fn new(all: Vec<SocketAddr>, seed: u64) -> Option<Replicated> {
+        Instances::new(all, seed).map(|instances| Replicated { instances, floor: None, refusals: 0 })
     }
 
     /// Whether a list of this revision may be taken: never one older than the last taken, unless each instance
     /// in turn has refused what the sidecar holds, since then the service has begun to count anew.
     fn takes(&self, revision: u64) -> bool {
-        self.floor.is_none_or(|floor| revision >= floor) || self.refusals >= self.all.len()
+        self.floor.is_none_or(|floor| revision >= floor) || self.refusals >= self.instances.count()
     }
 
     fn took(&mut self, revision: u64) {
-        (self.floor, self.refusals, self.backoff) = (Some(revision), 0, PEER_BACKOFF);
-    }
-
-    fn current(&self) -> SocketAddr {
-        self.all[self.at]
-    }
-
-    /// Moves to the next instance and answers how long to wait before asking it.
-    fn failed(&mut self) -> Duration {
-        self.at = (self.at + 1) % self.all.len();
-        let wait = self.backoff.mul_f64(self.rng.f64());
-        self.backoff = (self.backoff * 2).min(PEER_BACKOFF_MOST);
-        wait
+        (self.floor, self.refusals) = (Some(revision), 0);
+        self.instances.answered();
     }
 }
 
@@ -134,10 +107,10 @@
         if asked { (WATCH_ASKED, PATIENCE_ASKED) } else { (WATCH_PUSHED, PATIENCE_PUSHED) };
     let (mut held, mut backoff, mut connection, mut has_moved) = (known, BACKOFF, None, false);
     let mut pause = asked.then_some(Pause::TillSubscribed);
-    let mut instances = Instances::new(config.discovery_peers.clone(), config.seed);
+    let mut replicated = Replicated::new(config.discovery_peers.clone(), config.seed);
     let mut addr = *at.borrow_and_update();
-    if let Some(instances) = &instances {
-        addr = instances.current();
+    if let Some(replicated) = &replicated {
+        addr = replicated.instances.current();
     }
     loop {
         let next = async {
@@ -161,10 +134,10 @@
             answered = next => answered,
         };
         pause = None;
-        let answer = answer.and_then(|news| match &mut instances {
-            Some(instances) if !instances.takes(news.revision) => {
-                instances.refusals += 1;
-                Err(DiscoveryError::Behind(news.revision, instances.floor.unwrap_or_default()))
+        let answer = answer.and_then(|news| match &mut replicated {
+            Some(replicated) if !replicated.takes(news.revision) => {
+                replicated.refusals += 1;
+                Err(DiscoveryError::Behind(news.revision, replicated.floor.unwrap_or_default()))
             }
             _ => Ok(news),
         });
@@ -173,8 +146,8 @@
             Ok(news) if !news.complete && held.is_some_and(|held| news.revision < held) => held = None,
             // A whole list counts whatever its number: discovery may have begun to count anew.
             Ok(news) => {
-                if let Some(instances) = &mut instances {
-                    instances.took(news.revision);
+                if let Some(replicated) = &mut replicated {
+                    replicated.took(news.revision);
                 }
                 let nothing_new = held == Some(news.revision) && called.elapsed() < BACKOFF_MOST;
                 (held, backoff, has_moved) = (Some(news.revision), BACKOFF, false);
@@ -197,13 +170,13 @@
                     (false, _) => Pause::For(backoff),
                 });
                 backoff = (backoff * 2).min(BACKOFF_MOST);
-                if let Some(instances) = &mut instances {
+                if let Some(replicated) = &mut replicated {
                     // The revision held is from the future there: the whole list is asked for.
                     if matches!(error, DiscoveryError::Status(StatusCode::BAD_REQUEST)) {
-                        (held, instances.refusals) = (None, instances.refusals + 1);
+                        (held, replicated.refusals) = (None, replicated.refusals + 1);
                     }
-                    let wait = instances.failed();
-                    addr = instances.current();
+                    let wait = replicated.instances.failed();
+                    addr = replicated.instances.current();
                     if !asked {
                         pause = Some(Pause::For(wait));
                     }
@@ -246,41 +219,17 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-
-    fn peers(count: u16) -> Vec<SocketAddr> {
-        (1..=count).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect()
-    }
+    use crate::instances::tests::peers;
 
     #[test]
     fn a_list_older_than_the_one_taken_is_refused_until_every_instance_has_said_so() {
-        let mut instances = Instances::new(peers(3), 1).expect("peers");
-        assert!(instances.takes(5), "the known list of the start may count otherwise");
-        instances.took(5);
-        assert!(instances.takes(5) && !instances.takes(4));
-        instances.refusals = 2;
-        assert!(!instances.takes(4), "two of three may be behind");
-        instances.refusals = 3;
-        assert!(instances.takes(4), "all three count anew");
-    }
-
-    /// 300 sidecars lose the service at once, and each asks the next instance after its backoff; every call
-    /// fails. Their calls come spread: from the third second on, at most one for each sidecar in any second and a
-    /// fifth of the fleet in any tenth of one, where without jitter all 300 would come at the same instants.
-    #[test]
-    fn a_fleet_that_lost_the_service_comes_back_spread_over_time() {
-        const FLEET: u64 = 300;
-        let mut calls_per_tenth = vec![0_u64; 200];
-        for seed in 0..FLEET {
-            let mut instances = Instances::new(peers(2), seed).expect("peers");
-            let mut at = Duration::ZERO;
-            while let Some(count) = calls_per_tenth.get_mut(at.as_millis() as usize / 100) {
-                *count += 1;
-                at += instances.failed();
-            }
-        }
-        let late = &calls_per_tenth[30..];
-        let most_in_a_second = late.windows(10).map(|second| second.iter().sum::<u64>()).max();
-        assert!(most_in_a_second.is_some_and(|most| most <= FLEET), "{most_in_a_second:?}");
-        assert!(late.iter().all(|&tenth| tenth <= FLEET / 5), "{late:?}");
+        let mut replicated = Replicated::new(peers(3), 1).expect("peers");
+        assert!(replicated.takes(5), "the known list of the start may count otherwise");
+        replicated.took(5);
+        assert!(replicated.takes(5) && !replicated.takes(4));
+        replicated.refusals = 2;
+        assert!(!replicated.takes(4), "two of three may be behind");
+        replicated.refusals = 3;
+        assert!(replicated.takes(4), "all three count anew");
     }
 }
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -12,6 +12,7 @@
 mod framing;
 mod handle;
 mod idle;
+mod instances;
 mod life;
 mod list;
 mod listener;
