--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -23,6 +23,7 @@
 
 use bans::Bans;
 use budget::Budget;
+use clap::Parser;
 use config::{Config, ConfigError};
 use control::Control;
 use driver::Driver;
@@ -55,6 +56,22 @@
 /// an answer by then: the longest deadline is 3 s.
 const DRAINED: Duration = Duration::from_millis(3_600);
 
+/// The sidecar beside an application: sends each of its requests to an upstream. What it is told at its start
+/// comes from the environment.
+#[derive(Parser)]
+#[command(name = "juniperspoke", version, after_help = ENVIRONMENT)]
+struct Args {}
+
+const ENVIRONMENT: &str = "\
+Environment:
+  BALANCER_CONFIG     The JSON configuration's file; has to be set
+  BALANCER_LISTEN     Where clients call, as IP:PORT; wins over the file, as the next three do
+  BALANCER_DISCOVERY  Where discovery is, as IP:PORT
+  BALANCER_NAME       This sidecar's name
+  BALANCER_CONTROL    Where operators call, as IP:PORT
+  BALANCER_LISTEN_FD  The descriptor of the clients' socket, where the platform holds it
+  TMPDIR              Where upstreams out by hand are kept";
+
 #[derive(Debug, thiserror::Error)]
 enum StartError {
     #[error(transparent)]
@@ -161,6 +178,7 @@
 }
 
 fn main() -> ExitCode {
+    Args::parse();
     let inherited = match listener::inherited() {
         Ok(inherited) => inherited,
         Err(error) => {
--- a/src/bin/listd/config.rs
+++ b/src/bin/listd/config.rs
@@ -10,7 +10,11 @@
 
 /// The command line; what it names wins over the file.
 #[derive(Debug, Parser)]
-#[command(name = "listd", about = "The list service: upstreams and sidecars, with revisions and watches")]
+#[command(
+    name = "listd",
+    version,
+    about = "The list service: upstreams and sidecars, with revisions and watches"
+)]
 pub struct Args {
     /// The TOML configuration.
     #[arg(long)]
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,4 +1,6 @@
-//! The operators' limits on the policy file.
+//! The operators' limits on the policy file, and what the programs' command lines take.
+
+use std::process::{Command, Stdio};
 
 #[test]
 fn the_policy_file_stays_within_its_limits() {
@@ -8,3 +10,18 @@
     let longest = text.lines().map(|line| line.chars().count()).max();
     assert!(longest <= Some(110), "a line of {longest:?} characters");
 }
+
+#[test]
+fn the_programs_say_their_version_and_refuse_what_they_do_not_know() {
+    for (name, program) in
+        [("juniperspoke", env!("CARGO_BIN_EXE_juniperspoke")), ("listd", env!("CARGO_BIN_EXE_listd"))]
+    {
+        let run = |argument: &str| {
+            Command::new(program).arg(argument).stdin(Stdio::null()).output().expect("started")
+        };
+        let version = String::from_utf8(run("--version").stdout).expect("text");
+        assert_eq!(version, format!("{name} {}\n", env!("CARGO_PKG_VERSION")));
+        assert!(String::from_utf8_lossy(&run("--help").stdout).contains("Usage:"), "{name}");
+        assert_eq!(run("--nonsense").status.code(), Some(2), "{name}");
+    }
+}
