Sidecar: log through tracing, with levels and RUST_LOG

eprintln! lines had neither time nor level, and could not be chosen from. They are tracing events now: info for where it listens and discovery's moves, warn for what is skipped or failed, error for what it could not start with. The writer stays synchronous on stderr, without colours; notes stay limited as before. A broken log no longer ends the process.

--- a/src/bin/juniperspoke/bans.rs
+++ b/src/bin/juniperspoke/bans.rs
@@ -131,7 +131,7 @@
     match read(file) {
         Ok(names) => std::mem::replace(&mut known.names, names.clone()) != names,
         Err(error) => {
-            eprintln!("bans: {error}");
+            tracing::warn!("bans: {error}");
             false
         }
     }
--- a/src/bin/juniperspoke/control.rs
+++ b/src/bin/juniperspoke/control.rs
@@ -158,7 +158,7 @@
         match self.bans.change(&name, out, &self.driver).await {
             Ok(()) => Ok(yes(if out { "out of use" } else { "in use" })),
             Err(error) => {
-                eprintln!("bans: {error}");
+                tracing::warn!("bans: {error}");
                 Err(no(StatusCode::INTERNAL_SERVER_ERROR, &format!("not changed: {error}")))
             }
         }
--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -157,7 +157,7 @@
             }
             Err(error) => {
                 if backoff == BACKOFF {
-                    eprintln!("discovery: {error}");
+                    tracing::warn!("discovery: {error}");
                 }
                 connection = None;
                 if backoff == BACKOFF || asked {
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -123,7 +123,7 @@
         let over =
             |owed: &Owed| owed.answer.is_some() && owed.answer_by.is_some_and(|by| by <= Instant::now());
         if self.requests.get(&id).is_some_and(over) {
-            eprintln!("a request was left without an answer");
+            tracing::warn!("a request was left without an answer");
             self.answer(id, Answer::Failed);
             self.handle_event(Event::HungUp(id));
             self.forget(id);
@@ -295,7 +295,7 @@
     fn log(&mut self, note: Note) {
         let again = |(last, at): (Note, Instant)| last == note && at.elapsed() < LOG_AGAIN;
         if !self.logged.is_some_and(again) {
-            eprintln!("{note}");
+            tracing::warn!("{note}");
             self.logged = Some((note, Instant::now()));
         }
     }
--- a/src/bin/juniperspoke/list.rs
+++ b/src/bin/juniperspoke/list.rs
@@ -41,7 +41,7 @@
     let members = members.iter().filter_map(|member| {
         let line = line(member, names);
         if line.is_none() {
-            eprintln!("skipped a line of the list: {member}");
+            tracing::warn!("skipped a line of the list: {member}");
         }
         line
     });
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -40,6 +40,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
+use tracing_subscriber::EnvFilter;
 use upstream::{BUFFER, Upstreams};
 
 /// Descriptors for all that is no connection of the application or to upstreams: the listener, discovery, logs.
@@ -47,6 +48,8 @@
 /// What the buffers of a connection in full use take: what is read ahead, what waits to be written, and a piece
 /// in between.
 const BUFFERS: usize = 3 * BUFFER;
+/// What is logged where `RUST_LOG` says nothing, or what can't be read.
+const LOGGED: &str = "warn,juniperspoke=info";
 /// After SIGTERM newcomers come for so long at least, and none for so long means that they have stopped.
 const NEWCOMERS: Duration = Duration::from_millis(500);
 const QUIET: Duration = Duration::from_millis(250);
@@ -70,6 +73,7 @@
   BALANCER_NAME       This sidecar's name
   BALANCER_CONTROL    Where operators call, as IP:PORT
   BALANCER_LISTEN_FD  The descriptor of the clients' socket, where the platform holds it
+  RUST_LOG            What is logged, such as warn or juniperspoke=debug; info and above if unset
   TMPDIR              Where upstreams out by hand are kept";
 
 #[derive(Debug, thiserror::Error)]
@@ -87,10 +91,10 @@
     while hangup.recv().await.is_some() {
         match config::discovery_now() {
             Ok(addr) => {
-                eprintln!("discovery is at {addr}");
+                tracing::info!("discovery is at {addr}");
                 discovery.send_replace(addr);
             }
-            Err(error) => eprintln!("reload: {error}"),
+            Err(error) => tracing::warn!("reload: {error}"),
         }
     }
 }
@@ -125,7 +129,7 @@
     let known = match list::read(&config.known, &config.surroundings) {
         Ok(known) => Some(known),
         Err(error) => {
-            eprintln!("{}: starting without a known list: {error}", config.name);
+            tracing::warn!("{}: starting without a known list: {error}", config.name);
             None
         }
     };
@@ -138,7 +142,7 @@
     let server =
         Server::new(config.clone(), handle.clone(), life.clone(), metrics.clone(), budget, clients.max(1));
     if let Some(listener) = control {
-        eprintln!("{}: control on {}", config.name, listener.local_addr()?);
+        tracing::info!("{}: control on {}", config.name, listener.local_addr()?);
         tokio::spawn(Control::new(life.clone(), metrics, handle.clone(), bans.clone()).listen(listener));
     }
     let mut driving = tokio::spawn(driver.run(known, beside));
@@ -147,7 +151,7 @@
     let (moved, at) = watch::channel(config.discovery);
     tokio::spawn(reload(hangup, moved));
     tokio::spawn(discovery::follow(config.clone(), at, revision, subscribe, handle.clone()));
-    eprintln!("{}: listening on {}", config.name, listener.local_addr()?);
+    tracing::info!("{}: listening on {}", config.name, listener.local_addr()?);
     let listening = tokio::spawn({
         let server = server.clone();
         async move {
@@ -179,24 +183,28 @@
 
 fn main() -> ExitCode {
     Args::parse();
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(LOGGED));
+    // A log that nobody can write to any more is no reason to end.
+    let log = tracing_subscriber::fmt().with_writer(io::stderr).with_ansi(false).log_internal_errors(false);
+    log.with_env_filter(filter).init();
     let inherited = match listener::inherited() {
         Ok(inherited) => inherited,
         Err(error) => {
-            eprintln!("juniperspoke: {error}");
+            tracing::error!("{error}");
             return ExitCode::FAILURE;
         }
     };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
-            eprintln!("juniperspoke: {error}");
+            tracing::error!("{error}");
             return ExitCode::FAILURE;
         }
     };
     match runtime.block_on(run(inherited)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("juniperspoke: {error}");
+            tracing::error!("{error}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -150,7 +150,7 @@
                 }
                 Err(error) => {
                     if !std::mem::replace(&mut failing, true) {
-                        eprintln!("accept: {error}");
+                        tracing::warn!("accept: {error}");
                     }
                     self.give_way.notify_one();
                     sleep(ACCEPT_AGAIN).await;
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -495,7 +495,8 @@
         command
             .args(["-c", &format!("{shell}; exec {}", env!("CARGO_BIN_EXE_juniperspoke"))])
             .env("BALANCER_CONFIG", dir.config())
-            .env("TMPDIR", dir.0.join("tmp"));
+            .env("TMPDIR", dir.0.join("tmp"))
+            .env_remove("RUST_LOG");
         command
     }
 
