Sidecar: a typed form of its JSON configuration

Each value was picked out of free JSON by its key. The form is a struct read by serde now; settings and the known list stay free. As before, unknown fields are allowed, a value of another type counts as missing, and errors name their key.

--- a/src/bin/juniperspoke/config.rs
+++ b/src/bin/juniperspoke/config.rs
@@ -2,6 +2,8 @@
 
 use micapier::api::Settings;
 use micapier::settings::{self, SettingError, Surroundings};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::{env, fs, io};
@@ -24,6 +26,50 @@
     Setting(#[from] SettingError),
 }
 
+/// The JSON's form. The platform says more than is read here. Guards against a value of another type: it counts as
+/// missing, and where it is needed the error names its key.
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Document {
+    #[serde(deserialize_with = "lenient")]
+    name: String,
+    #[serde(deserialize_with = "lenient")]
+    listen: String,
+    #[serde(deserialize_with = "lenient")]
+    discovery: String,
+    #[serde(deserialize_with = "lenient")]
+    discovery_peers: Vec<Value>,
+    control: Option<Value>,
+    /// In hexadecimal.
+    #[serde(deserialize_with = "lenient")]
+    seed: String,
+    #[serde(deserialize_with = "lenient")]
+    limits: Limits,
+    known: Value,
+    /// Nested by the platform's names; [`settings`] reads what it knows of them.
+    settings: Value,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(default)]
+struct Limits {
+    #[serde(deserialize_with = "lenient")]
+    sockets: Option<usize>,
+    #[serde(deserialize_with = "lenient")]
+    memory_mb: Option<f64>,
+}
+
+fn lenient<'de, T: Default + DeserializeOwned, D: Deserializer<'de>>(from: D) -> Result<T, D::Error> {
+    Ok(serde_json::from_value(Value::deserialize(from)?).unwrap_or_default())
+}
+
+impl Document {
+    fn read(text: &str) -> Result<Document, ConfigError> {
+        // By way of a value, where the last of two values of a key wins.
+        Ok(serde_json::from_value(serde_json::from_str(text)?)?)
+    }
+}
+
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
@@ -51,37 +97,27 @@
 
     /// The environment wins over the JSON where both name a value.
     pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigError> {
-        let json: Value = serde_json::from_str(text)?;
-        let text = |key: &str, var: &str| {
-            env(var).or_else(|| json[key].as_str().map(String::from)).unwrap_or_default()
-        };
-        let addr = |key, var: &str| parse_addr(key, text(key, var));
-        let seed = json["seed"].as_str().unwrap_or_default();
-        let seed = u64::from_str_radix(seed, 16)
-            .map_err(|_| ConfigError::Value { key: "seed", text: seed.to_owned() })?;
+        let json = Document::read(text)?;
+        let addr = |key, text: String, var: &str| parse_addr(key, env(var).unwrap_or(text));
+        let peers = json.discovery_peers.into_iter();
+        let seed = u64::from_str_radix(&json.seed, 16);
         let mut flat = String::new();
-        flatten("", &json["settings"], &mut flat);
+        flatten("", &json.settings, &mut flat);
         Ok(Config {
-            name: text("name", "BALANCER_NAME"),
-            listen: addr("listen", "BALANCER_LISTEN")?,
-            discovery: addr("discovery", "BALANCER_DISCOVERY")?,
-            discovery_peers: match json["discovery_peers"].as_array() {
-                None => Vec::new(),
-                Some(peers) => peers
-                    .iter()
-                    .map(|peer| parse_addr("discovery_peers", peer.as_str().unwrap_or_default().to_owned()))
-                    .collect::<Result<_, _>>()?,
-            },
-            control: match (env("BALANCER_CONTROL"), &json["control"]) {
-                (None, Value::Null) => None,
-                (Some(text), _) => Some(parse_addr("control", text)?),
-                (None, Value::String(text)) => Some(parse_addr("control", text.clone())?),
-                (None, other) => Some(parse_addr("control", other.to_string())?),
-            },
-            seed,
-            sockets: json["limits"]["sockets"].as_u64().map_or(SOCKETS, |n| n as usize),
-            memory: (json["limits"]["memory_mb"].as_f64().unwrap_or(MEMORY_MB) * 1e6) as usize,
-            known: json["known"].clone(),
+            name: env("BALANCER_NAME").unwrap_or(json.name),
+            listen: addr("listen", json.listen, "BALANCER_LISTEN")?,
+            discovery: addr("discovery", json.discovery, "BALANCER_DISCOVERY")?,
+            discovery_peers: peers
+                .map(|peer| parse_addr("discovery_peers", as_text(peer)))
+                .collect::<Result<_, _>>()?,
+            control: env("BALANCER_CONTROL")
+                .or(json.control.map(as_text))
+                .map(|text| parse_addr("control", text))
+                .transpose()?,
+            seed: seed.map_err(|_| ConfigError::Value { key: "seed", text: json.seed })?,
+            sockets: json.limits.sockets.unwrap_or(SOCKETS),
+            memory: (json.limits.memory_mb.unwrap_or(MEMORY_MB) * 1e6) as usize,
+            known: json.known,
             settings: settings::parse(&flat)?,
             surroundings: settings::surroundings(&flat)?,
         })
@@ -103,10 +139,17 @@
     text.parse().map_err(|_| ConfigError::Value { key, text })
 }
 
+/// A value as text, without the marks around a text.
+fn as_text(value: Value) -> String {
+    match value {
+        Value::String(text) => text,
+        other => other.to_string(),
+    }
+}
+
 /// Where discovery is by the file as it is now. The environment, which is from the start, no longer counts.
 pub fn discovery_now() -> Result<SocketAddr, ConfigError> {
-    let json: Value = serde_json::from_str(&file()?)?;
-    parse_addr("discovery", json["discovery"].as_str().unwrap_or_default().to_owned())
+    parse_addr("discovery", Document::read(&file()?)?.discovery)
 }
 
 /// Names are compared in the form that they have in the flat settings.
@@ -156,6 +199,18 @@
         assert_eq!(config.surroundings.held_name.as_deref(), Some("concurrent"));
     }
 
+    #[test]
+    fn what_is_unknown_or_of_another_type_stops_nothing() {
+        let more = "{\"more\":{\"a\":[]},\"known\":7,\"discovery_peers\":3,\"name\":\"n1\",\"name\"";
+        let odd = JSON.replacen("{\"name\"", more, 1);
+        let odd = odd.replacen("{\"sockets\":300}", "{\"sockets\":0.5,\"memory_mb\":8}", 1);
+        let config = Config::read(&odd, |_| None).expect("readable");
+        assert_eq!((config.name.as_str(), config.sockets, config.memory), ("n3", SOCKETS, 8_000_000));
+        assert_eq!((config.known, config.discovery_peers), (Value::from(7), Vec::new()));
+        let unlimited = JSON.replacen("{\"sockets\":300}", "true", 1);
+        assert_eq!(Config::read(&unlimited, |_| None).expect("readable").memory, 32_000_000);
+    }
+
     #[test]
     fn the_environment_wins_and_bad_values_are_named() {
         let env = |key: &str| (key == "BALANCER_LISTEN").then(|| "127.0.0.2:1".to_owned());
