listd: its figures at GET /metrics, as OpenMetrics

Operators could see an instance's state in its log alone. /metrics tells the revision, entries, watchers held, writes by how they ended, raft's term and leader, and whether the instance is in touch with a quorum.

--- a/src/bin/listd/http.rs
+++ b/src/bin/listd/http.rs
@@ -1,5 +1,6 @@
 //! The service over HTTP/1.1 and JSON: discovery's list and watch, registrations, heartbeats and deletes.
 
+use crate::metrics;
 use crate::node::{Node, ReadError, WriteError};
 use crate::peers::MAX_RAFT_BODY;
 use crate::store::{Command, Member, Outcome, StoreError};
@@ -66,7 +67,8 @@
         }
         (&Method::POST, ["raft", "vote"]) => rpc(&body, |rpc| node.raft.vote(rpc)).await,
         (&Method::POST, ["raft", "snapshot"]) => rpc(&body, |rpc| node.raft.install_snapshot(rpc)).await,
-        (_, ["registry", ..]) => plain(StatusCode::METHOD_NOT_ALLOWED, "no such call"),
+        (&Method::GET, ["metrics"]) => typed(metrics::CONTENT_TYPE, node.figures().into_bytes()),
+        (_, ["registry" | "metrics", ..]) => plain(StatusCode::METHOD_NOT_ALLOWED, "no such call"),
         _ => plain(StatusCode::NOT_FOUND, "no such path"),
     }
 }
@@ -105,8 +107,12 @@
 }
 
 fn json(body: Vec<u8>) -> Response<Full<Bytes>> {
+    typed("application/json", body)
+}
+
+fn typed(form: &'static str, body: Vec<u8>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
-    response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static(form));
     response
 }
 
--- a/src/bin/listd/main.rs
+++ b/src/bin/listd/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod durable;
 mod http;
+mod metrics;
 mod node;
 mod peers;
 mod replica;
--- a/src/bin/listd/node.rs
+++ b/src/bin/listd/node.rs
@@ -1,6 +1,7 @@
 //! One instance of the service: raft over the store, the clock of the leases, and what the leader alone does.
 
 use crate::durable::DiskError;
+use crate::metrics::{Ending, Metrics, Now};
 use crate::peers::Peers;
 use crate::replica::{NodeId, Replica, Shared, Types};
 use crate::store::{Command, Limits, Outcome, StoreError};
@@ -70,6 +71,7 @@
     /// When this instance was last in touch with a quorum: the leader by what a quorum acknowledged, a follower by
     /// what it took from the leader. `None` before the first time.
     touch: watch::Sender<Option<Instant>>,
+    metrics: Metrics,
 }
 
 impl Node {
@@ -102,7 +104,8 @@
         if let Err(error) = raft.initialize(nodes).await {
             tracing::debug!(%error, "the membership is there already");
         }
-        Ok(Node { raft, shared, members, started: Instant::now(), touch: watch::Sender::new(None) })
+        let (started, touch) = (Instant::now(), watch::Sender::new(None));
+        Ok(Node { raft, shared, members, started, touch, metrics: Metrics::new() })
     }
 
     /// Milliseconds of this instance's monotonic clock.
@@ -116,6 +119,17 @@
     /// [`WriteError::Refused`] where the store refuses it, and nothing changed; [`WriteError::NotLeader`] on a
     /// follower; [`WriteError::Raft`] where raft could not commit it, and it may or may not be committed later.
     pub async fn write(&self, command: Command) -> Result<Outcome, WriteError> {
+        let written = self.commit(command).await;
+        self.metrics.count(match &written {
+            Ok(_) => Ending::Committed,
+            Err(WriteError::Refused(_)) => Ending::Refused,
+            Err(WriteError::NotLeader(_)) => Ending::NotLeader,
+            Err(WriteError::Raft(_) | WriteError::Late) => Ending::Open,
+        });
+        written
+    }
+
+    async fn commit(&self, command: Command) -> Result<Outcome, WriteError> {
         // What the store refuses never reaches the log.
         self.shared.store().check(&command)?;
         let Ok(written) = timeout(WRITE_PATIENCE, self.raft.client_write(command)).await else {
@@ -189,6 +203,7 @@
     /// # Errors
     /// As [`Node::read`].
     pub async fn watch(&self, index: u64, wait: Duration) -> Result<Vec<u8>, ReadError> {
+        let _watching = self.metrics.watch();
         let deadline = Instant::now() + wait;
         let mut revision = self.shared.revision();
         // Past the index there is news; before it the read says that the index is from the future.
@@ -202,6 +217,21 @@
         self.read(Some(index))
     }
 
+    /// The figures as text.
+    pub fn figures(&self) -> String {
+        let (term, leader) = {
+            let raft = self.raft.metrics();
+            let raft = raft.borrow();
+            (raft.current_term, raft.current_leader)
+        };
+        let (revision, entries) = {
+            let store = self.shared.store();
+            (store.revision(), store.whole().members.len())
+        };
+        let in_touch = self.in_touch_until().is_some();
+        self.metrics.text(&Now { revision, entries, term, leader, in_touch })
+    }
+
     /// What the leader alone does, for good: at the start of each of its terms every lease begins anew on its
     /// clock, and each `tick` the entries whose lease lapsed past the grace are tombstoned.
     pub async fn lead(&self, tick: Duration) {
--- a/tests/listd.rs
+++ b/tests/listd.rs
@@ -3,6 +3,8 @@
 mod cluster;
 
 use cluster::{Listd, entry, ids, revision};
+use std::io::Write;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -36,6 +38,32 @@
     }
     let (_, whole) = listd.call("GET", "/registry/instances", "");
     assert_eq!((revision(&whole), ids(&whole)), (3, vec!["kept:Ready".to_owned()]));
+    let (status, figures) = listd.call("GET", "/metrics", "");
+    assert_eq!((status, listd.call("PUT", "/metrics", "").0), (200, 405));
+    // Two registrations, the start of the term and the expiry; two of the bad calls reached the store.
+    for line in [
+        "listd_revision 3",
+        "listd_entries 1",
+        "listd_raft_leader 1",
+        "listd_in_touch 1",
+        "listd_writes_total{ending=\"committed\"} 4",
+        "listd_writes_total{ending=\"refused\"} 2",
+    ] {
+        assert!(figures.lines().any(|found| found == line), "{line} in {figures}");
+    }
+
+    // A watch is counted while it waits, and no longer once its caller has left.
+    let watchers = |count| {
+        let line = format!("listd_watchers {count}\n");
+        listd.until(&line, |listd| listd.call("GET", "/metrics", "").1.contains(&line));
+    };
+    let mut watch = TcpStream::connect(listd.addr).expect("accepted");
+    watch
+        .write_all(b"GET /registry/instances?index=3&wait=60000 HTTP/1.1\r\nHost: listd\r\n\r\n")
+        .expect("sent");
+    watchers(1);
+    drop(watch);
+    watchers(0);
 
     // SIGKILL right after the write was acknowledged: it is on disk.
     assert_eq!(listd.call("DELETE", "/registry/instances/kept", "").0, 200);
