Tests: signals through nix, not through spawned shells

Pausing an instance and signalling a sidecar started kill or a shell for each signal, by a name in text. nix (a dev-dependency, its signal part alone) sends them directly, typed.

--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -1,6 +1,8 @@
 //! Processes of the list service for tests, and a fault proxy to put between them.
 #![allow(dead_code)]
 
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -100,9 +102,8 @@
 
     /// Pauses (SIGSTOP) or resumes (SIGCONT) the process.
     pub fn pause(&self, paused: bool) {
-        let signal = if paused { "-STOP" } else { "-CONT" };
-        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
-        assert!(status.is_ok_and(|status| status.success()), "kill {signal}");
+        let signal = if paused { Signal::SIGSTOP } else { Signal::SIGCONT };
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("signalled");
     }
 
     /// SIGKILL, and the process reaped.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use nix::sys::signal::Signal;
 use serde_json::json;
 use std::io::{Read, Write};
 use std::time::{Duration, Instant};
@@ -467,7 +468,7 @@
         assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
         // A file that can't be read changes nothing.
         sidecar.spoil_config();
-        sidecar.signal("HUP");
+        sidecar.signal(Signal::SIGHUP);
         assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200, "{mode}");
         // The new one counts anew, from below the revision held.
         sidecar.move_discovery(0, &[b.line("Ready")]);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1,6 +1,8 @@
 //! Upstreams, discovery and an application for tests, on loopback sockets with ports from the kernel.
 #![allow(dead_code)]
 
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Write};
@@ -551,7 +553,7 @@
         self.discovery = Arc::new(Discovery::start(&whole));
         self.config["discovery"] = json!(self.discovery.addr.to_string());
         std::fs::write(self.dir.config(), self.config.to_string()).expect("written");
-        self.signal("HUP");
+        self.signal(Signal::SIGHUP);
     }
 
     pub fn connect(&self) -> TcpStream {
@@ -617,12 +619,11 @@
     }
 
     pub fn terminate(&self) {
-        self.signal("TERM");
+        self.signal(Signal::SIGTERM);
     }
 
-    pub fn signal(&self, name: &str) {
-        let kill = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.process.id())).status();
-        assert!(kill.expect("run").success());
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.process.id() as i32), signal).expect("signalled");
     }
 
     pub fn exit_code(&mut self) -> Option<i32> {
