--- a/src/bin/juniperspoke/config.rs
+++ b/src/bin/juniperspoke/config.rs
@@ -199,6 +199,14 @@
         assert_eq!(config.surroundings.held_name.as_deref(), Some("concurrent"));
     }
 
+    #[test]
+    fn the_example_is_a_configuration() {
+        let example = include_str!("../../../deploy/examples/sidecar.json");
+        let config = Config::read(example, |_| None).expect("readable");
+        assert_eq!((config.discovery_peers.len(), config.settings.classes.len()), (1, 2));
+        assert!(crate::list::read(&config.known, &config.surroundings).is_ok());
+    }
+
     #[test]
     fn what_is_unknown_or_of_another_type_stops_nothing() {
         let more = "{\"more\":{\"a\":[]},\"known\":7,\"discovery_peers\":3,\"name\":\"n1\",\"name\"";
--- a/src/bin/listd/config.rs
+++ b/src/bin/listd/config.rs
@@ -123,3 +123,30 @@
         Limits { retain: self.retain, grace_ms: self.grace_ms, max_entries: self.max_entries }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use micapier::fleet::config::FleetConfig;
+
+    const EXAMPLE: &str = include_str!("../../../deploy/examples/listd.toml");
+
+    #[test]
+    fn the_example_is_a_configuration_also_with_the_fleets_table() {
+        let plain: Config = toml::from_str(EXAMPLE).expect("a configuration");
+        let members = plain.members().expect("peers");
+        assert_eq!(
+            (members.len(), plain.listen, plain.limits()),
+            (3, Config::default().listen, Config::default().limits())
+        );
+        // A setting to be taken in begins right after its mark, a remark after a space.
+        let setting =
+            |line: &'static str| line.strip_prefix('#').filter(|rest| !rest.starts_with(' ')).unwrap_or(line);
+        let text: Vec<&str> = EXAMPLE.lines().map(setting).collect();
+        let mut table: toml::Table = toml::from_str(&text.join("\n")).expect("TOML");
+        let fleet = table.remove("fleet").expect("a table of the fleet");
+        let fleet: FleetConfig = fleet.try_into().expect("the fleet's form");
+        assert_eq!((fleet.check(), fleet.is_on(), fleet.contracts.len()), (Ok(()), true, 1));
+        assert_eq!(fleet.ramp_ms, FleetConfig::default().ramp_ms);
+    }
+}
