--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -8,10 +8,6 @@
 use std::time::{Duration, Instant};
 use world::*;
 
-fn ok(body: &str) -> Reply {
-    Reply::text(200, "", body)
-}
-
 /// Text that shows where something is missing or doubled.
 fn text(length: usize) -> String {
     let mut text: String = (0..length / 8 + 1).map(|i| format!("{i:08x}")).collect();
@@ -135,10 +131,6 @@
     assert_eq!(sidecar.figure("inflight"), 0);
 }
 
-fn with_door(config: &mut serde_json::Value) {
-    config["control"] = json!("127.0.0.1:0");
-}
-
 #[test]
 fn an_answer_of_unknown_length_is_not_held_back_until_there_is_much_of_it() {
     let upstream = Upstream::start(|_| {
@@ -156,8 +148,7 @@
 
 #[test]
 fn a_body_that_is_not_proper_is_never_passed_on_as_whole_nor_counted_as_served() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::with(&[&upstream], with_door);
+    let (upstream, sidecar) = served(with_door);
     let long = text(200_000);
     for (what, framing) in [
         ("two lengths", "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody".into()),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -121,6 +121,12 @@
         self.tell(Event::Outcome { id, attempt, outcome, took: ms(took), progress })
     }
 
+    /// Waits so long, and the first attempt is answered.
+    pub fn answer(&mut self, id: RequestId, took: u64) {
+        self.wait(took);
+        self.end(id, 0, Outcome::Ok, took);
+    }
+
     /// Some requests, one after the other.
     pub fn serve_many(&mut self, count: usize, took: impl Fn(ServerId) -> u64) {
         for _ in 0..count {
@@ -133,8 +139,7 @@
         let (id, said) = self.ask();
         let server = sent(&said).expect("sent at once");
         let took = took(server);
-        self.wait(took);
-        self.end(id, 0, Outcome::Ok, took);
+        self.answer(id, took);
         server
     }
 }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -19,6 +19,20 @@
     Rig::new(settings(vec![class(repeat)]), listed(servers))
 }
 
+/// The second half of the list is in another zone than the sidecar, and crossing costs a little.
+fn two_zones(settings: &mut Settings, servers: &mut [Listed]) {
+    settings.cross_zone_price = 0.01;
+    let half = servers.len() / 2;
+    servers[half..].iter_mut().for_each(|s| s.zone = 1);
+}
+
+/// For requests that may run again, with the settings and the list changed so.
+fn rig_with(servers: u64, change: impl FnOnce(&mut Settings, &mut [Listed])) -> Rig {
+    let (mut settings, mut servers) = (settings(vec![class(SAFE)]), listed(servers));
+    change(&mut settings, &mut servers);
+    Rig::new(settings, servers)
+}
+
 // ---- the ordinary path ----
 
 #[test]
@@ -40,9 +54,7 @@
 
 #[test]
 fn weight_divides_the_score() {
-    let mut servers = listed(2);
-    servers[0].weight = 4.0;
-    let mut rig = Rig::new(settings(vec![class(SAFE)]), servers);
+    let mut rig = rig_with(2, |_, servers| servers[0].weight = 4.0);
     rig.serve_many(10, |_| 50);
     let to_first = (0..3).filter(|_| sent(&rig.ask().1) == Some(ServerId(1))).count();
     assert_eq!(to_first, 3, "three fit beside four times the weight before a tie");
@@ -249,9 +261,8 @@
 
 #[test]
 fn discovery_is_asked_again_in_time() {
-    let mut settings = settings(vec![class(SAFE)]);
-    settings.discovery = Discovery::OnRequest { must_ask_in: ms(10_000) };
-    let mut rig = Rig::new(settings, listed(2));
+    let mut rig =
+        rig_with(2, |settings, _| settings.discovery = Discovery::OnRequest { must_ask_in: ms(10_000) });
     assert!(rig.wait(5_000).contains(&Action::Subscribe), "at start");
     for _ in 0..12 {
         rig.tell(Event::List(ListNews::Failed));
@@ -262,9 +273,7 @@
 
 #[test]
 fn a_cold_server_gets_little() {
-    let mut settings = settings(vec![class(SAFE)]);
-    settings.slow_start.ramp_time = ms(200_000);
-    let mut rig = Rig::new(settings, listed(4));
+    let mut rig = rig_with(4, |settings, _| settings.slow_start.ramp_time = ms(200_000));
     rig.serve_many(200, |_| 50);
     let mut cold = line(9);
     // By its weight it wins every draw: only the lot holds it back while it is cold.
@@ -288,8 +297,7 @@
             rig.end(id, 0, Outcome::Error, 1);
             rig.end(id, 1, Outcome::Ok, 30);
         } else {
-            rig.wait(took);
-            rig.end(id, 0, Outcome::Ok, took);
+            rig.answer(id, took);
         }
     }
     assert!(rig.log.iter().any(|(_, a)| *a == Action::Log(Note::Ejected(bad))));
@@ -302,8 +310,7 @@
             break;
         }
         let took = 20 + i * 7 % 20;
-        rig.wait(took);
-        rig.end(id, 0, Outcome::Ok, took);
+        rig.answer(id, took);
     }
     assert_eq!(trials.len(), 1, "tried again");
     // While the trial is out, nothing else goes there.
@@ -337,9 +344,7 @@
 
 #[test]
 fn a_lost_zone_is_not_learned_of_server_by_server() {
-    let mut servers = listed(30);
-    servers[10..].iter_mut().for_each(|s| s.zone = 1);
-    let mut rig = Rig::new(settings(vec![class(SAFE)]), servers);
+    let mut rig = rig_with(30, |_, servers| servers[10..].iter_mut().for_each(|s| s.zone = 1));
     let none = |_: ServerId| false;
     let second = |s: ServerId| s.0 > 10;
     unreachable(&mut rig, 60, none);
@@ -583,9 +588,7 @@
 
 #[test]
 fn the_busiest_of_many_sidecars_soon_has_a_window_to_its_share() {
-    let mut settings = settings(vec![class(SAFE)]);
-    settings.instances = 100;
-    let mut rig = Rig::new(settings, listed(60));
+    let mut rig = rig_with(60, |settings, _| settings.instances = 100);
     // 30 in flight, against two at the start.
     let refused = refused_of_a_stream(&mut rig, 2_000, |_| 150);
     assert!(refused < 100, "{refused} of 400 refused");
@@ -608,11 +611,10 @@
 #[test]
 fn home_is_preferred_only_where_crossing_costs() {
     for (price, expect_home) in [(0.1, true), (0.0, false)] {
-        let mut settings = settings(vec![class(SAFE)]);
-        settings.cross_zone_price = price;
-        let mut servers = listed(6);
-        servers[2..].iter_mut().for_each(|s| s.zone = 1);
-        let mut rig = Rig::new(settings, servers);
+        let mut rig = rig_with(6, |settings, servers| {
+            settings.cross_zone_price = price;
+            servers[2..].iter_mut().for_each(|s| s.zone = 1);
+        });
         rig.serve_many(20, |_| 40);
         let home = (0..50).filter(|_| rig.serve(|_| 40).0 <= 2).count();
         assert_eq!(home == 50, expect_home, "{home} of 50 at home for a price of {price}");
@@ -621,11 +623,10 @@
 
 #[test]
 fn requests_leave_a_home_that_is_slow_however_large_its_servers() {
-    let mut settings = settings(vec![class(SAFE)]);
-    settings.cross_zone_price = 0.01;
-    let mut servers = listed(6);
-    servers.iter_mut().for_each(|s| (s.weight, s.zone) = (4.0, u16::from(s.server.0 > 3)));
-    let mut rig = Rig::new(settings, servers);
+    let mut rig = rig_with(6, |settings, servers| {
+        settings.cross_zone_price = 0.01;
+        servers.iter_mut().for_each(|s| (s.weight, s.zone) = (4.0, u16::from(s.server.0 > 3)));
+    });
     let took = |s: ServerId| if s.0 > 3 { 50 } else { 300 };
     rig.serve_many(20, took);
     let home = (0..50).filter(|_| rig.serve(took).0 <= 3).count();
@@ -634,11 +635,7 @@
 
 #[test]
 fn a_sidecar_that_meets_servers_seldom_takes_its_average_for_no_peak() {
-    let mut settings = settings(vec![class(SAFE)]);
-    settings.cross_zone_price = 0.01;
-    let mut servers = listed(6);
-    servers.iter_mut().for_each(|s| s.zone = u16::from(s.server.0 > 3));
-    let mut rig = Rig::new(settings, servers);
+    let mut rig = rig_with(6, two_zones);
     // A home with a mean of a quarter of the aim misses more of them than crossing costs.
     let serve = |_| {
         rig.wait(4_000);
@@ -650,11 +647,7 @@
 
 #[test]
 fn the_last_good_server_at_home_is_not_given_all_requests() {
-    let mut settings = settings(vec![class(SAFE)]);
-    settings.cross_zone_price = 0.01;
-    let mut servers = listed(6);
-    servers.iter_mut().for_each(|s| s.zone = u16::from(s.server.0 > 3));
-    let mut rig = Rig::new(settings, servers);
+    let mut rig = rig_with(6, two_zones);
     let took = |s: ServerId| if [2, 3].contains(&s.0) { 300 } else { 50 };
     rig.serve_many(20, took);
     let last = (0..50).filter(|_| rig.serve(took) == ServerId(1)).count();
@@ -857,8 +850,7 @@
             rig.end(id, 0, Outcome::ConnectFailed, 1);
             rig.end(id, 1, Outcome::Ok, 50);
         } else {
-            rig.wait(50);
-            rig.end(id, 0, Outcome::Ok, 50);
+            rig.answer(id, 50);
         }
         bad = rig.log.iter().find(|(_, a)| *a == Action::Log(Note::Ejected(ServerId(1))));
     }
@@ -872,8 +864,7 @@
     let mut rig = Rig::new(settings(vec![class(SAFE); 2]), listed(6));
     let serve = |rig: &mut Rig, class, took| {
         let (id, said) = rig.ask_as(class, 1_200);
-        rig.wait(took);
-        rig.end(id, 0, Outcome::Ok, took);
+        rig.answer(id, took);
         sent(&said)
     };
     let mut again = 0;
@@ -923,9 +914,7 @@
     // Guards against a connection opened for almost every attempt, each costing its server work.
     let mut reached = BTreeSet::new();
     for number in 0..5 {
-        let mut settings = settings(vec![class(SAFE)]);
-        (settings.number, settings.instances) = (number, 5);
-        let mut rig = Rig::new(settings, listed(40));
+        let mut rig = rig_with(40, |settings, _| (settings.number, settings.instances) = (number, 5));
         let own: BTreeSet<u64> = (0..60)
             .map(|_| {
                 rig.wait(2_000);
@@ -985,8 +974,7 @@
             Some(&server) => drop(probed(&mut rig, server, Outcome::Ok, None)),
             None => assert!(sent(&said).is_some()),
         }
-        rig.wait(10);
-        rig.end(id, 0, Outcome::Ok, 10);
+        rig.answer(id, 10);
     }
     assert!(sent(&rig.ask().1).is_some());
 }
@@ -1054,8 +1042,7 @@
         suited += usize::from(suits && round >= 200);
         let took = if suits { 30 } else { 90 };
         // Each server is heard of rarely: its own average alone could not tell.
-        rig.wait(took);
-        rig.end(id, 0, Outcome::Ok, took);
+        rig.answer(id, took);
         rig.wait(2_000);
     }
     assert!(suited > 130, "{suited} of 200, where chance alone gives 100 and two draws can give 150");
@@ -1064,17 +1051,14 @@
 #[test]
 fn in_a_crowd_a_quiet_sidecar_sends_only_a_share_of_its_requests() {
     // Guards against incident ie2dd1e: one attempt in flight at each of many sidecars kept servers crowded.
-    let mut settings = settings(vec![class(SAFE)]);
-    settings.instances = 100;
-    let mut rig = Rig::new(settings, listed(10));
+    let mut rig = rig_with(10, |settings, _| settings.instances = 100);
     let share = |rig: &mut Rig, took: u64| {
         let mut went = 0;
         for _ in 0..80 {
             let (id, said) = rig.ask();
             if sent(&said).is_some() {
                 went += 1;
-                rig.wait(took);
-                rig.end(id, 0, Outcome::Ok, took);
+                rig.answer(id, took);
             }
             rig.wait(600);
         }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -9,10 +9,6 @@
 use std::time::Duration;
 use world::*;
 
-fn ok(body: &str) -> Reply {
-    Reply::text(200, "", body)
-}
-
 fn listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a port")
 }
@@ -33,8 +29,7 @@
     assert_eq!(old.exit_code(), Some(0));
     // Who comes while no process listens waits in the queue that the platform holds.
     drop(new);
-    let mut early = old.connect();
-    early.write_all(call("pay", 20.0).text().as_bytes()).expect("written");
+    let mut early = old.send(&call("pay", 20.0));
     let _third = old.successor(&socket);
     assert_eq!(Answer::read(&mut early).status, 200);
 }
@@ -65,14 +60,9 @@
     }
 }
 
-fn with_door(config: &mut serde_json::Value) {
-    config["control"] = json!("127.0.0.1:0");
-}
-
 #[test]
 fn the_door_says_no_to_what_is_no_call_and_changes_nothing() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::with(&[&upstream], with_door);
+    let (_upstream, sidecar) = served(with_door);
     assert_eq!(sidecar.operate("GET /ready").0, 200);
     for (call, status) in [
         ("GET /", 404),
@@ -121,8 +111,7 @@
 
 #[test]
 fn the_door_answers_beside_callers_who_hold_connections_and_clients_who_hold_all_of_theirs() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::with(&[&upstream], |config| {
+    let (_upstream, sidecar) = served(|config| {
         with_door(config);
         config["limits"]["sockets"] = json!(64);
     });
@@ -172,8 +161,7 @@
     ] {
         assert_eq!(sidecar.ask(&call).status, status);
     }
-    let mut waiting = sidecar.connect();
-    waiting.write_all(call("pay", 60.0).header("X-Call-Cost", "2").text().as_bytes()).expect("written");
+    let waiting = sidecar.send(&call("pay", 60.0).header("X-Call-Cost", "2"));
     upstream.wait_for("it", |state| state.requests.len() == 4);
     assert_eq!((sidecar.figure("inflight"), sidecar.figure("backend_calls")), (1, 4));
     drop(waiting);
@@ -203,11 +191,9 @@
     });
     let sidecar = Sidecar::with(&[&upstream], with_door);
     for _ in 0..2 {
-        let mut idle = sidecar.connect();
-        idle.write_all(call("pay", 5.0).text().as_bytes()).expect("written");
-        assert_eq!(Answer::read(&mut idle).status, 200);
-        let (mut busy, before) = (sidecar.connect(), upstream.requests().len());
-        busy.write_all(call("pay", 5.0).text().as_bytes()).expect("written");
+        let mut idle = sidecar.kept();
+        let before = upstream.requests().len();
+        let mut busy = sidecar.send(&call("pay", 5.0));
         upstream.wait_for("it", |state| state.requests.len() == before + 1);
         for _ in 0..2 {
             assert_eq!(sidecar.operate("PUT /drain").0, 200);
@@ -236,11 +222,8 @@
 
 #[test]
 fn a_drain_closes_connections_that_stay_idle() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::with(&[&upstream], with_door);
-    let mut idle = sidecar.connect();
-    idle.write_all(call("pay", 5.0).text().as_bytes()).expect("written");
-    assert_eq!(Answer::read(&mut idle).status, 200);
+    let (_upstream, sidecar) = served(with_door);
+    let mut idle = sidecar.kept();
     assert_eq!(sidecar.operate("PUT /drain").0, 200);
     assert_eq!(idle.read(&mut [0; 8]).expect("an end"), 0);
 }
@@ -285,8 +268,7 @@
 
 #[test]
 fn a_bad_name_of_an_upstream_is_told_and_changes_nothing() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::with(&[&upstream], with_door);
+    let (upstream, sidecar) = served(with_door);
     let id = upstream.line("Ready")["id"].as_str().expect("an id").to_owned();
     for call in ["disable", "enable"] {
         for (query, status) in [
@@ -388,13 +370,7 @@
     let old = Sidecar::inheriting(&socket, &[&upstream], limits);
     let new = old.successor(&socket);
     // More than both have room for, kept by their clients.
-    let mut kept = Vec::new();
-    for i in 0..200 {
-        let mut client = old.connect();
-        client.write_all(call("pay", 10.0).text().as_bytes()).expect("written");
-        assert_eq!(Answer::read(&mut client).status, 200, "connection {i}");
-        kept.push(client);
-    }
+    let kept: Vec<_> = (0..200).map(|_| old.kept()).collect();
     let held = old.descriptors() + new.descriptors();
     assert!(held <= 160, "{held}");
     drop(kept);
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -8,10 +8,6 @@
 use std::time::{Duration, Instant};
 use world::*;
 
-fn ok(body: &str) -> Reply {
-    Reply::text(200, "", body)
-}
-
 #[test]
 fn a_request_is_passed_on_unchanged_and_its_answer_as_it_is() {
     let upstream = Upstream::start(|_| ok("\u{0}the answer"));
@@ -93,8 +89,7 @@
 fn a_client_that_leaves_ends_its_attempt() {
     let upstream = Upstream::start(|_| Reply::Silence);
     let sidecar = Sidecar::start(&[&upstream]);
-    let mut client = sidecar.connect();
-    client.write_all(call("pay", 20.0).text().as_bytes()).expect("written");
+    let client = sidecar.send(&call("pay", 20.0));
     upstream.wait_for("the request", |state| state.requests.len() == 1);
     drop(client);
     upstream.wait_for("the connection to close", |state| state.closed_by_peer == 1);
@@ -102,8 +97,7 @@
 
 #[test]
 fn connections_are_kept_but_not_those_that_saw_their_end() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (upstream, sidecar) = served(|_| {});
     for _ in 0..5 {
         assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
     }
@@ -116,9 +110,7 @@
 
 #[test]
 fn a_connection_idle_for_nearly_as_long_as_its_upstream_allows_is_not_used_again() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar =
-        Sidecar::with(&[&upstream], |config| config["settings"]["policyLimits"]["keepalive"] = json!(400.0));
+    let (upstream, sidecar) = served(|config| config["settings"]["policyLimits"]["keepalive"] = json!(400.0));
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
     std::thread::sleep(Duration::from_millis(370));
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
@@ -127,8 +119,7 @@
 
 #[test]
 fn malformed_requests_are_answered_and_go_nowhere() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (upstream, sidecar) = served(|_| {});
     let bad = [
         call("nobody", 1.0),
         call("pay", 1.0).header("X-Budget", "soon"),
@@ -173,8 +164,7 @@
 
 #[test]
 fn a_silent_or_slow_peer_is_shown_out_however_long_it_says_it_waits() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (upstream, sidecar) = served(|_| {});
     let slow = [
         ("nothing at all", String::new()),
         ("half a head", "POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Call-".into()),
@@ -196,8 +186,7 @@
 
 #[test]
 fn a_copy_of_a_request_reaches_no_upstream_while_its_original_is_served() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (upstream, sidecar) = served(|_| {});
     for _ in 0..3 {
         let original = call("look", 5.0).method("GET");
         assert_eq!(sidecar.ask(&original).status, 200);
@@ -271,8 +260,7 @@
 
 #[test]
 fn the_next_watch_comes_at_once_and_names_the_revision_held() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (upstream, sidecar) = served(|_| {});
     // The shortest of several waits: a busy machine may delay some, a pause of the sidecar's own would all.
     let waits = (2..8).map(|revision| {
         sidecar.discovery.say(revision, false, &[upstream.line("Ready")]);
@@ -292,8 +280,7 @@
     let mut kept = sidecar.connect();
     kept.write_all(b"GET /health/ready HTTP/1.1\r\nHost: n0\r\n\r\n").expect("written");
     assert_eq!(Answer::read(&mut kept).status, 200);
-    let mut early = sidecar.connect();
-    early.write_all(call("pay", 3.0).text().as_bytes()).expect("written");
+    let mut early = sidecar.send(&call("pay", 3.0));
     upstream.wait_for("the request", |state| state.requests.len() == 1);
     sidecar.terminate();
     sidecar.wait_until("readiness fails", |sidecar| sidecar.ready() == 503);
@@ -309,16 +296,9 @@
 
 #[test]
 fn connections_beyond_the_limit_wait_for_those_that_are_idle_and_give_way() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::with(&[&upstream], |config| config["limits"]["sockets"] = json!(32));
+    let (_upstream, sidecar) = served(|config| config["limits"]["sockets"] = json!(32));
     // Three times as many connections as there is room for, all kept by their clients.
-    let mut kept = Vec::new();
-    for i in 0..48 {
-        let mut client = sidecar.connect();
-        client.write_all(call("pay", 5.0).text().as_bytes()).expect("written");
-        assert_eq!(Answer::read(&mut client).status, 200, "connection {i}");
-        kept.push(client);
-    }
+    let kept: Vec<_> = (0..48).map(|_| sidecar.kept()).collect();
     assert!(sidecar.descriptors() < 32, "{}", sidecar.descriptors());
     drop(kept);
     assert_eq!(sidecar.ask(&call("pay", 5.0)).status, 200);
@@ -326,8 +306,7 @@
 
 #[test]
 fn a_newcomer_without_room_costs_one_other_its_connection_and_not_all() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::with(&[&upstream], |config| config["limits"]["sockets"] = json!(80));
+    let (_upstream, sidecar) = served(|config| config["limits"]["sockets"] = json!(80));
     let mut kept: Vec<_> = (0..32).map(|_| sidecar.connect()).collect();
     for client in &mut kept {
         client.write_all(call("pay", 5.0).text().as_bytes()).expect("written");
@@ -429,8 +408,7 @@
 
 #[test]
 fn a_refusal_says_when_to_come_back_and_comes_as_soon_as_the_module_gives_up() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::with(&[&upstream], |config| {
+    let (upstream, sidecar) = served(|config| {
         config["settings"]["requestClasses"][0]["aim"] = json!(400.0);
     });
     sidecar.discovery.say(2, true, &[upstream.line("Terminating")]);
@@ -447,8 +425,7 @@
 
 #[test]
 fn a_watch_that_does_not_wait_is_not_asked_without_a_pause() {
-    let upstream = Upstream::start(|_| ok("served"));
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (_upstream, sidecar) = served(|_| {});
     let (before, since) = (sidecar.discovery.calls(), Instant::now());
     (0..1_000).for_each(|_| sidecar.discovery.say(1, false, &[]));
     std::thread::sleep(Duration::from_millis(500));
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -439,6 +439,23 @@
     String::from_utf8(output.stderr).expect("text")
 }
 
+/// The plain answer of 200.
+pub fn ok(body: &str) -> Reply {
+    Reply::text(200, "", body)
+}
+
+/// A door for operators, on a port from the kernel.
+pub fn with_door(config: &mut Value) {
+    config["control"] = json!("127.0.0.1:0");
+}
+
+/// A sidecar and its only upstream, which serves.
+pub fn served(change: impl FnOnce(&mut Value)) -> (Upstream, Sidecar) {
+    let upstream = Upstream::start(|_| ok("served"));
+    let sidecar = Sidecar::with(&[&upstream], change);
+    (upstream, sidecar)
+}
+
 impl Sidecar {
     pub fn start(upstreams: &[&Upstream]) -> Sidecar {
         Sidecar::with(upstreams, |_| {})
@@ -562,6 +579,20 @@
         stream
     }
 
+    /// A connection of its own with this call written to it.
+    pub fn send(&self, call: &Call) -> TcpStream {
+        let mut stream = self.connect();
+        stream.write_all(call.text().as_bytes()).expect("written");
+        stream
+    }
+
+    /// A connection on which a call has been served, kept by its client.
+    pub fn kept(&self) -> TcpStream {
+        let mut stream = self.send(&call("pay", 5.0));
+        assert_eq!(Answer::read(&mut stream).status, 200);
+        stream
+    }
+
     /// A connection to the door for operators.
     pub fn door(&self) -> TcpStream {
         let stream = TcpStream::connect(self.control.expect("a door")).expect("accepted");
