--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -85,6 +85,13 @@
     reply.iter().filter(|r| r[0] == 0).cloned().collect()
 }
 
+/// The replies to these frames, after which it ends well.
+fn replies_to(frames: &[Vec<u8>]) -> Vec<Vec<Vec<u8>>> {
+    let output = run(&frames.concat());
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    replies(&output.stdout)
+}
+
 /// Brings one instance up with one server.
 fn start(clock: f64, who: u32, last_byte: u8) -> Vec<u8> {
     let tail = [SETTINGS.as_bytes(), &entry(last_byte)].concat();
@@ -111,9 +118,7 @@
 fn a_request_is_sent_to_the_listed_server_and_its_end_says_nothing_more() {
     let input =
         [start(1.0, 3, 9), frame(6.0, &[inbound(3, 77)], &[]), frame(36.0, &[done(3, 77, 1, 1)], &[])];
-    let output = run(&input.concat());
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
-    let replies = replies(&output.stdout);
+    let replies = replies_to(&input);
     let sends = sends(&replies[1]);
     assert_eq!(sends.len(), 1);
     assert_eq!(sends[0][1..5], 3u32.to_le_bytes());
@@ -139,9 +144,7 @@
         inbound(1, 6),
     ];
     let restart = [event(5, 0, &[]), up(0, SETTINGS), discovery(0, 3, 0), done(0, 5, 1, 1), inbound(0, 8)];
-    let output = run(&[frame(1.0, &records, &tail), frame(9.0, &restart, SETTINGS.as_bytes())].concat());
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
-    let replies = replies(&output.stdout);
+    let replies = replies_to(&[frame(1.0, &records, &tail), frame(9.0, &restart, SETTINGS.as_bytes())]);
     let to: Vec<u8> = sends(&replies[0]).iter().map(|r| r[12]).collect();
     assert_eq!(to, [1, 2]);
     let again = sends(&replies[1]);
@@ -222,7 +225,7 @@
     let tail = [settings.as_bytes(), &entries].concat();
     let up = [up(0, &settings), manifest(0, at, 20), discovery(0, 3, 0), inbound(0, 5)];
     let start = frame(1.0, &up, &tail);
-    let first = replies(&run(&start).stdout);
+    let first = replies_to(std::slice::from_ref(&start));
     let probes: Vec<Vec<u8>> = first[0].iter().filter(|r| r[0] == 5).map(|r| r[5..11].to_vec()).collect();
     assert_eq!(probes.len(), 2);
     // The second value of the report is the one that counts.
@@ -238,7 +241,7 @@
     };
     for (idle, held) in [(0, [0.0, 3.0]), (1, [3.0, 0.0])] {
         let results = [result(&probes[0], held[0]), result(&probes[1], held[1])];
-        let said = replies(&run(&[start.clone(), frame(6.0, &results, &[])].concat()).stdout);
+        let said = replies_to(&[start.clone(), frame(6.0, &results, &[])]);
         assert_eq!(sends(&said[1])[0][9..15], probes[idle]);
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -106,6 +106,12 @@
         self.tell(Event::Request(Arrival { id, class, cost, patience, origin }))
     }
 
+    /// A fresh request of the first class with a hint of its cost in ms.
+    pub fn arrive_costing(&mut self, id: u32, cost: u64) -> Vec<Action> {
+        let (id, cost, patience) = (RequestId(id), Some(ms(cost)), ms(1_200));
+        self.tell(Event::Request(Arrival { id, class: 0, cost, patience, origin: Origin::Fresh }))
+    }
+
     pub fn ask_as(&mut self, class: usize, patience: u64) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next_id);
         self.next_id += 1;
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -734,15 +734,10 @@
 #[test]
 fn a_cheap_request_that_stood_in_a_queue_does_not_damn_its_server() {
     let mut rig = rig(SAFE, 2);
-    let send = |rig: &mut Rig, id: u32, cost: u64| {
-        let (id, patience) = (RequestId(id), ms(1_200));
-        let arrival = Arrival { id, class: 0, cost: Some(ms(cost)), patience, origin: Origin::Fresh };
-        sent(&rig.tell(Event::Request(arrival))).expect("sent at once")
-    };
+    let send = |rig: &mut Rig, id, cost| sent(&rig.arrive_costing(id, cost)).expect("sent at once");
     for (id, cost, took) in (0..40).map(|id| (id, 100, 100)).chain([(40, 1, 300)]) {
         send(&mut rig, id, cost);
-        rig.wait(took);
-        rig.end(RequestId(id), 0, Outcome::Ok, took);
+        rig.answer(RequestId(id), took);
     }
     // It looks slower, but not by so much that one with a request in flight is the better.
     rig.wait(2_500);
@@ -786,8 +781,7 @@
         let mut rig = rig(SAFE, 4);
         for id in 0..30 {
             rig.arrive(id, 0, 1_200, origin);
-            rig.wait(20);
-            rig.end(RequestId(id), 0, Outcome::Ok, 20);
+            rig.answer(RequestId(id), 20);
         }
         rig.arrive(99, 0, 1_200, origin);
         assert_eq!(sent(&rig.end(RequestId(99), 0, Outcome::Error, 5)).is_some(), again, "{origin:?}");
@@ -1017,13 +1011,10 @@
     // Guards against refusing on a rough hint, or on the few answers seen so far.
     let mut rig = Rig::new(probing(100), listed(40));
     for (round, cost) in [(0u32, 10), (1, 100), (2, 100)] {
-        let (id, patience, origin) = (RequestId(round), ms(1_200), Origin::Fresh);
-        let arrival = Arrival { id, class: 0, cost: Some(ms(cost)), patience, origin };
-        let said = rig.tell(Event::Request(arrival));
-        let server = probes(&said)[0];
+        let server = probes(&rig.arrive_costing(round, cost))[0];
         probed(&mut rig, server, Outcome::Ok, Some(0.0));
         assert!(sent(&rig.wait(10)).is_some(), "round {round}");
-        rig.end(id, 0, Outcome::Ok, 390);
+        rig.end(RequestId(round), 0, Outcome::Ok, 390);
     }
 }
 
