--- a/src/bin/juniperspoke/control.rs
+++ b/src/bin/juniperspoke/control.rs
@@ -1,7 +1,7 @@
 //! The door for operators: parses their calls, asks whoever owns what they are about, and words the answers.
 
 use crate::bans::Bans;
-use crate::driver::Handle;
+use crate::handle::Handle;
 use crate::life::{Life, Stage};
 use crate::metrics::Metrics;
 use bytes::Bytes;
@@ -158,7 +158,7 @@
         match self.bans.change(&name, out, &self.driver).await {
             Ok(()) => Ok(yes(if out { "out of use" } else { "in use" })),
             Err(error) => {
-                eprintln!("bans: {error}");
+                tracing::warn!("bans: {error}");
                 Err(no(StatusCode::INTERNAL_SERVER_ERROR, &format!("not changed: {error}")))
             }
         }
--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -1,16 +1,15 @@
 //! The list of upstreams: one whole list at first, then watches.
 
 use crate::config::Config;
-use crate::driver::{Handle, Happening};
-use crate::peers::Peers;
+use crate::handle::{Handle, Happening};
+use crate::instances::Instances;
+use crate::list::{self, ListError, News};
 use crate::upstream::TcpConnection;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
-use micapier::api::{Availability, Discovery, Listed, ServerId};
-use micapier::names::flat_name;
+use micapier::api::Discovery;
 use micapier::settings::Surroundings;
-use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -48,70 +47,12 @@
     Status(StatusCode),
     #[error("no JSON: {0}")]
     Json(#[from] serde_json::Error),
-    #[error("the list has no {0}")]
-    Form(&'static str),
+    #[error(transparent)]
+    List(#[from] ListError),
     #[error("an instance behind: revision {0} where {1} was taken")]
     Behind(u64, u64),
 }
 
-/// One answer of discovery.
-pub struct News {
-    pub revision: u64,
-    pub complete: bool,
-    pub members: Vec<(Listed, SocketAddr)>,
-}
-
-/// An id is the same at every sidecar, and so is its number: all sort the list alike.
-pub fn server_id(name: &str) -> ServerId {
-    // FNV-1a.
-    ServerId(
-        name.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-        }),
-    )
-}
-
-/// Reads a list in discovery's form. Guards against a line that can't be read: it is left out, the rest counts.
-pub fn read(list: &Value, names: &Surroundings) -> Result<News, DiscoveryError> {
-    let revision = list["revision"].as_u64().ok_or(DiscoveryError::Form("revision"))?;
-    let complete = list["complete"].as_bool().ok_or(DiscoveryError::Form("complete"))?;
-    let members = list["members"].as_array().ok_or(DiscoveryError::Form("members"))?;
-    let members = members.iter().filter_map(|member| {
-        let line = line(member, names);
-        if line.is_none() {
-            eprintln!("skipped a line of the list: {member}");
-        }
-        line
-    });
-    Ok(News { revision, complete, members: members.collect() })
-}
-
-fn line(member: &Value, names: &Surroundings) -> Option<(Listed, SocketAddr)> {
-    let place = |of: &[String], key: &str| {
-        let name = flat_name(member[key].as_str().unwrap_or_default());
-        of.iter().position(|other| *other == name)
-    };
-    let availability = match member["phase"].as_str()? {
-        "Ready" => Availability::Ready,
-        "Terminating" => Availability::Draining,
-        "Gone" => Availability::Gone,
-        _ => return None,
-    };
-    // Unix time is the driver's clock as well; 0 is long ago.
-    let since = member["up_since_ms"].as_f64().filter(|&ms| ms > 0.0);
-    let listed = Listed {
-        server: server_id(member["id"].as_str()?),
-        availability,
-        cell: member["cell"].as_u64().and_then(|cell| u16::try_from(cell).ok())?,
-        // A zone or kind that the settings don't name is nobody's.
-        zone: place(&names.zones, "locality").map_or(u16::MAX, |at| at as u16),
-        kind: place(&names.kinds, "flavor").map_or(u8::MAX, |at| at as u8),
-        weight: member["size"].as_f64().unwrap_or(1.0),
-        started: since.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok()),
-    };
-    Some((listed, member["host_port"].as_str()?.parse().ok()?))
-}
-
 /// What comes before the next call.
 enum Pause {
     TillSubscribed,
@@ -125,29 +66,30 @@
     }
 }
 
-/// The instances of a replicated list service: the next one is asked also after an answer older than the list taken.
-struct Instances {
-    peers: Peers,
+/// The instances of a replicated list service and what was taken from them: an answer older than that is refused
+/// as a failure is.
+struct Replicated {
+    instances: Instances,
     /// The revision last taken from the service; the known list of the start may count otherwise.
     floor: Option<u64>,
     /// Answers in a row that were behind the floor or called the revision asked for one from the future.
     refusals: usize,
 }
 
-impl Instances {
-    fn new(all: Vec<SocketAddr>, seed: u64) -> Option<Instances> {
-        Some(Instances { peers: Peers::new(all, seed)?, floor: None, refusals: 0 })
+impl Replicated {
+    fn new(all: Vec<SocketAddr>, seed: u64) -> Option<Replicated> {
+        Instances::new(all, seed).map(|instances| Replicated { instances, floor: None, refusals: 0 })
     }
 
     /// Whether a list of this revision may be taken: never one older than the last taken, unless each instance
     /// in turn has refused what the sidecar holds, since then the service has begun to count anew.
     fn takes(&self, revision: u64) -> bool {
-        self.floor.is_none_or(|floor| revision >= floor) || self.refusals >= self.peers.count()
+        self.floor.is_none_or(|floor| revision >= floor) || self.refusals >= self.instances.count()
     }
 
     fn took(&mut self, revision: u64) {
         (self.floor, self.refusals) = (Some(revision), 0);
-        self.peers.worked();
+        self.instances.answered();
     }
 }
 
@@ -165,10 +107,10 @@
         if asked { (WATCH_ASKED, PATIENCE_ASKED) } else { (WATCH_PUSHED, PATIENCE_PUSHED) };
     let (mut held, mut backoff, mut connection, mut has_moved) = (known, BACKOFF, None, false);
     let mut pause = asked.then_some(Pause::TillSubscribed);
-    let mut instances = Instances::new(config.discovery_peers.clone(), config.seed);
+    let mut replicated = Replicated::new(config.discovery_peers.clone(), config.seed);
     let mut addr = *at.borrow_and_update();
-    if let Some(instances) = &instances {
-        addr = instances.peers.current();
+    if let Some(replicated) = &replicated {
+        addr = replicated.instances.current();
     }
     loop {
         let next = async {
@@ -192,10 +134,10 @@
             answered = next => answered,
         };
         pause = None;
-        let answer = answer.and_then(|news| match &mut instances {
-            Some(instances) if !instances.takes(news.revision) => {
-                instances.refusals += 1;
-                Err(DiscoveryError::Behind(news.revision, instances.floor.unwrap_or_default()))
+        let answer = answer.and_then(|news| match &mut replicated {
+            Some(replicated) if !replicated.takes(news.revision) => {
+                replicated.refusals += 1;
+                Err(DiscoveryError::Behind(news.revision, replicated.floor.unwrap_or_default()))
             }
             _ => Ok(news),
         });
@@ -204,8 +146,8 @@
             Ok(news) if !news.complete && held.is_some_and(|held| news.revision < held) => held = None,
             // A whole list counts whatever its number: discovery may have begun to count anew.
             Ok(news) => {
-                if let Some(instances) = &mut instances {
-                    instances.took(news.revision);
+                if let Some(replicated) = &mut replicated {
+                    replicated.took(news.revision);
                 }
                 let nothing_new = held == Some(news.revision) && called.elapsed() < BACKOFF_MOST;
                 (held, backoff, has_moved) = (Some(news.revision), BACKOFF, false);
@@ -215,7 +157,7 @@
             }
             Err(error) => {
                 if backoff == BACKOFF {
-                    eprintln!("discovery: {error}");
+                    tracing::warn!("discovery: {error}");
                 }
                 connection = None;
                 if backoff == BACKOFF || asked {
@@ -228,13 +170,13 @@
                     (false, _) => Pause::For(backoff),
                 });
                 backoff = (backoff * 2).min(BACKOFF_MOST);
-                if let Some(instances) = &mut instances {
+                if let Some(replicated) = &mut replicated {
                     // The revision held is from the future there: the whole list is asked for.
                     if matches!(error, DiscoveryError::Status(StatusCode::BAD_REQUEST)) {
-                        (held, instances.refusals) = (None, instances.refusals + 1);
+                        (held, replicated.refusals) = (None, replicated.refusals + 1);
                     }
-                    let wait = instances.peers.failed();
-                    addr = instances.peers.current();
+                    let wait = replicated.instances.failed();
+                    addr = replicated.instances.current();
                     if !asked {
                         pause = Some(Pause::For(wait));
                     }
@@ -257,7 +199,7 @@
         None => "/registry/instances".to_owned(),
     };
     let request = Request::get(uri).header("Host", addr.to_string()).body(Empty::new());
-    let request = request.map_err(|_| DiscoveryError::Form("address"))?;
+    let request = request.map_err(|_| ListError("address"))?;
     connection.sender.ready().await?;
     let answer = connection.sender.send_request(request).await?;
     let status = answer.status();
@@ -266,10 +208,10 @@
         return Err(DiscoveryError::Status(status));
     }
     *kept = Some(connection);
-    let news = read(&serde_json::from_slice(&body.to_bytes())?, names)?;
+    let news = list::read(&serde_json::from_slice(&body.to_bytes())?, names)?;
     // Guards against asking for the whole list without a pause when changes are all that comes.
     if held.is_none() && !news.complete {
-        return Err(DiscoveryError::Form("all of its lines"));
+        return Err(ListError("all of its lines").into());
     }
     Ok(news)
 }
@@ -277,17 +219,17 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::peers::tests::peers;
+    use crate::instances::tests::peers;
 
     #[test]
     fn a_list_older_than_the_one_taken_is_refused_until_every_instance_has_said_so() {
-        let mut instances = Instances::new(peers(3), 1).expect("peers");
-        assert!(instances.takes(5), "the known list of the start may count otherwise");
-        instances.took(5);
-        assert!(instances.takes(5) && !instances.takes(4));
-        instances.refusals = 2;
-        assert!(!instances.takes(4), "two of three may be behind");
-        instances.refusals = 3;
-        assert!(instances.takes(4), "all three count anew");
+        let mut replicated = Replicated::new(peers(3), 1).expect("peers");
+        assert!(replicated.takes(5), "the known list of the start may count otherwise");
+        replicated.took(5);
+        assert!(replicated.takes(5) && !replicated.takes(4));
+        replicated.refusals = 2;
+        assert!(!replicated.takes(4), "two of three may be behind");
+        replicated.refusals = 3;
+        assert!(replicated.takes(4), "all three count anew");
     }
 }
--- a/src/bin/juniperspoke/fleet.rs
+++ b/src/bin/juniperspoke/fleet.rs
@@ -2,8 +2,8 @@
 //! nothing, and requests never wait for it: it and the driver hand over by messages that neither waits to send.
 
 use crate::config::{Config, FleetCalls};
-use crate::driver::{Handle, Happening};
-use crate::peers::Peers;
+use crate::handle::{Handle, Happening};
+use crate::instances::Instances;
 use crate::upstream::TcpConnection;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -113,7 +113,7 @@
     /// as it may tell of the loss that has taken the first. What none takes is gone: an answer of before a loss must
     /// not light in a later report what has gone dark since.
     async fn report(&self, calls: &FleetCalls) {
-        let Some(mut peers) = Peers::new(calls.peers.clone(), self.config.seed) else { return };
+        let Some(mut peers) = Instances::new(calls.peers.clone(), self.config.seed) else { return };
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let incarnation = unix.as_millis() as u64;
         let (mut line, mut sequence, mut since, mut failing) = (Line(None), 0, self.origin, false);
@@ -146,12 +146,12 @@
             for _ in 0..peers.count() {
                 let sent = timeout(PATIENCE, send(&mut line, peers.current(), &report)).await;
                 let Err(error) = sent.unwrap_or(Err(CallError::Silent)) else {
-                    peers.worked();
+                    peers.answered();
                     failing = false;
                     break;
                 };
                 if !std::mem::replace(&mut failing, true) {
-                    eprintln!("fleet: a report failed: {error}");
+                    tracing::warn!("fleet: a report failed: {error}");
                 }
                 line = Line(None);
                 sleep(peers.failed()).await;
@@ -161,14 +161,16 @@
 
     /// Follows the plan for good.
     async fn follow(&self, calls: &FleetCalls) {
-        let Some(mut peers) = Peers::new(calls.peers.clone(), self.config.seed ^ OTHER_SEED) else { return };
+        let Some(mut peers) = Instances::new(calls.peers.clone(), self.config.seed ^ OTHER_SEED) else {
+            return;
+        };
         let (mut line, mut failing) = (Line(None), false);
         loop {
             let called = Instant::now();
             let answer = timeout(WATCH + PATIENCE, self.watch(&mut line, peers.current())).await;
             match answer.unwrap_or(Err(CallError::Silent)) {
                 Ok(is_new) => {
-                    peers.worked();
+                    peers.answered();
                     failing = false;
                     if !is_new && called.elapsed() < PAUSE {
                         sleep(PAUSE).await;
@@ -176,7 +178,7 @@
                 }
                 Err(error) => {
                     if !std::mem::replace(&mut failing, true) {
-                        eprintln!("fleet: no plan: {error}");
+                        tracing::warn!("fleet: no plan: {error}");
                     }
                     line = Line(None);
                     sleep(peers.failed()).await;
--- a/src/bin/juniperspoke/peers.rs
+++ b/src/bin/juniperspoke/instances.rs
@@ -1,4 +1,4 @@
-//! The instances of a service that any of them can answer for.
+//! The instances of a replicated service, asked in turn.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,21 +8,21 @@
 const BACKOFF: Duration = Duration::from_millis(100);
 const BACKOFF_MOST: Duration = Duration::from_secs(5);
 
-/// Asked in turn: the next one after a failure. Each sidecar begins at a random one, so that the fleet's calls are
-/// spread.
-pub struct Peers {
+/// The instances of a replicated service and the one that is asked now: the next one after a failure. Each sidecar
+/// begins at a random one, so that the fleet's calls are spread.
+pub struct Instances {
     all: Vec<SocketAddr>,
     at: usize,
     rng: fastrand::Rng,
     backoff: Duration,
 }
 
-impl Peers {
+impl Instances {
     /// `None` where there are none.
-    pub fn new(all: Vec<SocketAddr>, seed: u64) -> Option<Peers> {
+    pub fn new(all: Vec<SocketAddr>, seed: u64) -> Option<Instances> {
         let mut rng = fastrand::Rng::with_seed(seed);
         let at = rng.usize(..all.len().max(1));
-        (!all.is_empty()).then_some(Peers { all, at, rng, backoff: BACKOFF })
+        (!all.is_empty()).then_some(Instances { all, at, rng, backoff: BACKOFF })
     }
 
     pub fn count(&self) -> usize {
@@ -33,7 +33,8 @@
         self.all[self.at]
     }
 
-    pub fn worked(&mut self) {
+    /// The current one has answered: the next failure is a first one.
+    pub fn answered(&mut self) {
         self.backoff = BACKOFF;
     }
 
@@ -50,6 +51,7 @@
 pub mod tests {
     use super::*;
 
+    /// So many instances that nobody listens for.
     pub fn peers(count: u16) -> Vec<SocketAddr> {
         (1..=count).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect()
     }
@@ -62,11 +64,11 @@
         const FLEET: u64 = 300;
         let mut calls_per_tenth = vec![0_u64; 200];
         for seed in 0..FLEET {
-            let mut peers = Peers::new(peers(2), seed).expect("peers");
+            let mut instances = Instances::new(peers(2), seed).expect("peers");
             let mut at = Duration::ZERO;
             while let Some(count) = calls_per_tenth.get_mut(at.as_millis() as usize / 100) {
                 *count += 1;
-                at += peers.failed();
+                at += instances.failed();
             }
         }
         let late = &calls_per_tenth[30..];
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -11,17 +11,20 @@
 mod driver;
 mod fleet;
 mod framing;
+mod handle;
 mod idle;
+mod instances;
 mod life;
+mod list;
 mod listener;
 mod metrics;
 mod peer;
-mod peers;
 mod server;
 mod upstream;
 
 use bans::Bans;
 use budget::Budget;
+use clap::Parser;
 use config::{Config, ConfigError};
 use control::Control;
 use driver::Driver;
@@ -38,6 +41,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, sleep};
+use tracing_subscriber::EnvFilter;
 use upstream::{BUFFER, Upstreams};
 
 /// Descriptors for all that is no connection of the application or to upstreams: the listener, discovery, logs.
@@ -45,6 +49,8 @@
 /// What the buffers of a connection in full use take: what is read ahead, what waits to be written, and a piece
 /// in between.
 const BUFFERS: usize = 3 * BUFFER;
+/// What is logged where `RUST_LOG` says nothing, or what can't be read.
+const LOGGED: &str = "warn,juniperspoke=info";
 /// After SIGTERM newcomers come for so long at least, and none for so long means that they have stopped.
 const NEWCOMERS: Duration = Duration::from_millis(500);
 const QUIET: Duration = Duration::from_millis(250);
@@ -54,6 +60,23 @@
 /// an answer by then: the longest deadline is 3 s.
 const DRAINED: Duration = Duration::from_millis(3_600);
 
+/// The sidecar beside an application: sends each of its requests to an upstream. What it is told at its start
+/// comes from the environment.
+#[derive(Parser)]
+#[command(name = "juniperspoke", version, after_help = ENVIRONMENT)]
+struct Args {}
+
+const ENVIRONMENT: &str = "\
+Environment:
+  BALANCER_CONFIG     The JSON configuration's file; has to be set
+  BALANCER_LISTEN     Where clients call, as IP:PORT; wins over the file, as the next three do
+  BALANCER_DISCOVERY  Where discovery is, as IP:PORT
+  BALANCER_NAME       This sidecar's name
+  BALANCER_CONTROL    Where operators call, as IP:PORT
+  BALANCER_LISTEN_FD  The descriptor of the clients' socket, where the platform holds it
+  RUST_LOG            What is logged, such as warn or juniperspoke=debug; info and above if unset
+  TMPDIR              Where upstreams out by hand are kept";
+
 #[derive(Debug, thiserror::Error)]
 enum StartError {
     #[error(transparent)]
@@ -69,10 +92,10 @@
     while hangup.recv().await.is_some() {
         match config::discovery_now() {
             Ok(addr) => {
-                eprintln!("discovery is at {addr}");
+                tracing::info!("discovery is at {addr}");
                 discovery.send_replace(addr);
             }
-            Err(error) => eprintln!("reload: {error}"),
+            Err(error) => tracing::warn!("reload: {error}"),
         }
     }
 }
@@ -106,10 +129,10 @@
     let subscribe = Arc::new(Notify::new());
     let dark = config.fleet.as_ref().map(|_| Arc::new(Notify::new()));
     let (driver, handle) = Driver::new(config.clone(), upstreams, subscribe.clone(), dark.clone());
-    let known = match discovery::read(&config.known, &config.surroundings) {
+    let known = match list::read(&config.known, &config.surroundings) {
         Ok(known) => Some(known),
         Err(error) => {
-            eprintln!("{}: starting without a known list: {error}", config.name);
+            tracing::warn!("{}: starting without a known list: {error}", config.name);
             None
         }
     };
@@ -122,7 +145,7 @@
     let server =
         Server::new(config.clone(), handle.clone(), life.clone(), metrics.clone(), budget, clients.max(1));
     if let Some(listener) = control {
-        eprintln!("{}: control on {}", config.name, listener.local_addr()?);
+        tracing::info!("{}: control on {}", config.name, listener.local_addr()?);
         tokio::spawn(Control::new(life.clone(), metrics, handle.clone(), bans.clone()).listen(listener));
     }
     let mut driving = tokio::spawn(driver.run(known, beside));
@@ -134,7 +157,7 @@
     if let Some(dark) = dark {
         fleet::start(config.clone(), handle.clone(), dark)?;
     }
-    eprintln!("{}: listening on {}", config.name, listener.local_addr()?);
+    tracing::info!("{}: listening on {}", config.name, listener.local_addr()?);
     let listening = tokio::spawn({
         let server = server.clone();
         async move {
@@ -165,24 +188,29 @@
 }
 
 fn main() -> ExitCode {
+    Args::parse();
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(LOGGED));
+    // A log that nobody can write to any more is no reason to end.
+    let log = tracing_subscriber::fmt().with_writer(io::stderr).with_ansi(false).log_internal_errors(false);
+    log.with_env_filter(filter).init();
     let inherited = match listener::inherited() {
         Ok(inherited) => inherited,
         Err(error) => {
-            eprintln!("juniperspoke: {error}");
+            tracing::error!("{error}");
             return ExitCode::FAILURE;
         }
     };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
-            eprintln!("juniperspoke: {error}");
+            tracing::error!("{error}");
             return ExitCode::FAILURE;
         }
     };
     match runtime.block_on(run(inherited)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("juniperspoke: {error}");
+            tracing::error!("{error}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -6,7 +6,7 @@
 use crate::bodies::{BodyError, Cut, Intake, Passing, RequestBody};
 use crate::budget::Budget;
 use crate::config::Config;
-use crate::driver::{Answer, Handle, Inbound};
+use crate::handle::{Answer, Handle, Inbound};
 use crate::life::{Life, Stage};
 use crate::metrics::{Ending, Metrics, Ticket};
 use crate::peer::Peer;
@@ -151,7 +151,7 @@
                 }
                 Err(error) => {
                     if !std::mem::replace(&mut failing, true) {
-                        eprintln!("accept: {error}");
+                        tracing::warn!("accept: {error}");
                     }
                     self.give_way.notify_one();
                     sleep(ACCEPT_AGAIN).await;
--- a/src/bin/listd/http.rs
+++ b/src/bin/listd/http.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet::FleetError;
 use crate::fleet_http;
+use crate::metrics;
 use crate::node::{Node, ReadError, WriteError};
 use crate::peers::MAX_RAFT_BODY;
 use crate::store::{Command, Member, Outcome, StoreError};
@@ -78,7 +79,8 @@
         (method, ["duties" | "fleet", ..]) => {
             fleet_http::serve(&node, method, &segments, &query, &body).await
         }
-        (_, ["registry", ..]) => plain(StatusCode::METHOD_NOT_ALLOWED, "no such call"),
+        (&Method::GET, ["metrics"]) => typed(metrics::CONTENT_TYPE, node.figures().into_bytes()),
+        (_, ["registry" | "metrics", ..]) => plain(StatusCode::METHOD_NOT_ALLOWED, "no such call"),
         _ => plain(StatusCode::NOT_FOUND, "no such path"),
     }
 }
@@ -125,8 +127,12 @@
 }
 
 fn json(body: Vec<u8>) -> Response<Full<Bytes>> {
+    typed("application/json", body)
+}
+
+fn typed(form: &'static str, body: Vec<u8>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
-    response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static("application/json"));
+    response.headers_mut().insert(CONTENT_TYPE, hyper::header::HeaderValue::from_static(form));
     response
 }
 
--- a/src/bin/listd/main.rs
+++ b/src/bin/listd/main.rs
@@ -8,6 +8,7 @@
 mod fleet_node;
 mod http;
 mod maintenance;
+mod metrics;
 mod node;
 mod peers;
 mod planner;
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -1,6 +1,8 @@
 //! Processes of the list service for tests, and a fault proxy to put between them.
 #![allow(dead_code)]
 
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -101,17 +103,16 @@
 
     /// Pauses (SIGSTOP) or resumes (SIGCONT) the process.
     pub fn pause(&self, paused: bool) {
-        self.signal(if paused { "-STOP" } else { "-CONT" });
+        self.signal(if paused { Signal::SIGSTOP } else { Signal::SIGCONT });
     }
 
-    fn signal(&self, signal: &str) {
-        let status = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
-        assert!(status.is_ok_and(|status| status.success()), "kill {signal}");
+    fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).expect("signalled");
     }
 
     /// SIGTERM; answers how the process ended, within [`PATIENCE`].
     pub fn terminate(mut self) -> ExitStatus {
-        self.signal("-TERM");
+        self.signal(Signal::SIGTERM);
         let began = Instant::now();
         loop {
             if let Some(status) = self.child.try_wait().expect("its own child") {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -106,6 +106,19 @@
         self.tell(Event::Request(Arrival { id, class, cost, patience, origin, tenant: None }))
     }
 
+    /// A fresh request of the first class with a hint of its cost in ms.
+    pub fn arrive_costing(&mut self, id: u32, cost: u64) -> Vec<Action> {
+        let (id, cost, patience) = (RequestId(id), Some(ms(cost)), ms(1_200));
+        self.tell(Event::Request(Arrival {
+            id,
+            class: 0,
+            cost,
+            patience,
+            origin: Origin::Fresh,
+            tenant: None,
+        }))
+    }
+
     pub fn ask_as(&mut self, class: usize, patience: u64) -> (RequestId, Vec<Action>) {
         let id = RequestId(self.next_id);
         self.next_id += 1;
@@ -121,6 +134,12 @@
         self.tell(Event::Outcome { id, attempt, outcome, took: ms(took), progress })
     }
 
+    /// Waits so long, and the first attempt is answered.
+    pub fn answer(&mut self, id: RequestId, took: u64) {
+        self.wait(took);
+        self.end(id, 0, Outcome::Ok, took);
+    }
+
     /// Some requests, one after the other.
     pub fn serve_many(&mut self, count: usize, took: impl Fn(ServerId) -> u64) {
         for _ in 0..count {
@@ -133,8 +152,7 @@
         let (id, said) = self.ask();
         let server = sent(&said).expect("sent at once");
         let took = took(server);
-        self.wait(took);
-        self.end(id, 0, Outcome::Ok, took);
+        self.answer(id, took);
         server
     }
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1,6 +1,8 @@
 //! Upstreams, discovery and an application for tests, on loopback sockets with ports from the kernel.
 #![allow(dead_code)]
 
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Write};
@@ -437,6 +439,23 @@
     String::from_utf8(output.stderr).expect("text")
 }
 
+/// The plain answer of 200.
+pub fn ok(body: &str) -> Reply {
+    Reply::text(200, "", body)
+}
+
+/// A door for operators, on a port from the kernel.
+pub fn with_door(config: &mut Value) {
+    config["control"] = json!("127.0.0.1:0");
+}
+
+/// A sidecar and its only upstream, which serves.
+pub fn served(change: impl FnOnce(&mut Value)) -> (Upstream, Sidecar) {
+    let upstream = Upstream::start(|_| ok("served"));
+    let sidecar = Sidecar::with(&[&upstream], change);
+    (upstream, sidecar)
+}
+
 impl Sidecar {
     pub fn start(upstreams: &[&Upstream]) -> Sidecar {
         Sidecar::with(upstreams, |_| {})
@@ -495,7 +514,8 @@
         command
             .args(["-c", &format!("{shell}; exec {}", env!("CARGO_BIN_EXE_juniperspoke"))])
             .env("BALANCER_CONFIG", dir.config())
-            .env("TMPDIR", dir.0.join("tmp"));
+            .env("TMPDIR", dir.0.join("tmp"))
+            .env_remove("RUST_LOG");
         command
     }
 
@@ -550,7 +570,7 @@
         self.discovery = Arc::new(Discovery::start(&whole));
         self.config["discovery"] = json!(self.discovery.addr.to_string());
         std::fs::write(self.dir.config(), self.config.to_string()).expect("written");
-        self.signal("HUP");
+        self.signal(Signal::SIGHUP);
     }
 
     pub fn connect(&self) -> TcpStream {
@@ -559,6 +579,20 @@
         stream
     }
 
+    /// A connection of its own with this call written to it.
+    pub fn send(&self, call: &Call) -> TcpStream {
+        let mut stream = self.connect();
+        stream.write_all(call.text().as_bytes()).expect("written");
+        stream
+    }
+
+    /// A connection on which a call has been served, kept by its client.
+    pub fn kept(&self) -> TcpStream {
+        let mut stream = self.send(&call("pay", 5.0));
+        assert_eq!(Answer::read(&mut stream).status, 200);
+        stream
+    }
+
     /// A connection to the door for operators.
     pub fn door(&self) -> TcpStream {
         let stream = TcpStream::connect(self.control.expect("a door")).expect("accepted");
@@ -616,12 +650,11 @@
     }
 
     pub fn terminate(&self) {
-        self.signal("TERM");
+        self.signal(Signal::SIGTERM);
     }
 
-    pub fn signal(&self, name: &str) {
-        let kill = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.process.id())).status();
-        assert!(kill.expect("run").success());
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.process.id() as i32), signal).expect("signalled");
     }
 
     pub fn exit_code(&mut self) -> Option<i32> {
