--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,9 +16,11 @@
 pub mod planner;
 pub mod report;
 mod rider;
+pub mod route;
 pub mod site;
 pub mod state;
 pub mod steering;
 #[cfg(test)]
 mod steering_tests;
+pub mod tally;
 pub mod targets;
