Fleet: evidence over several reports and sidecars, for sites that are tried seldom

A sidecar keeps its traffic at home, so it tries another site some times in a second at most, and leaves one that fails by its own judgement. One report of a second then never has three attempts without an answer, or has answers of before the loss beside them. In a fleet of twelve sidecars with 18 requests a second each, a site whose servers reset every connection was held to be serving for all of the 14 s that it was away, and so was one that was cut off from the others.

A report now says for each site whether it answered lately and how many attempts had no answer since, over as many reports as count at a time. Sidecars of a site with too few attempts for a vote have one together, if two of them have three in all and one of the site reaches a third. What is tried in vain is doubt, so that the planner has it looked at more closely.

--- a/src/bin/juniperspoke/fleet.rs
+++ b/src/bin/juniperspoke/fleet.rs
@@ -127,6 +127,7 @@
             }
             let Some(tally) = self.driver.counts().await else { return };
             let begun = Instant::now();
+            let sights = tally.sights(self.names());
             let (demand, traffic) = tally.lines(self.names());
             sequence += 1;
             let held = self.held.borrow().acting_since(self.now_ms());
@@ -139,6 +140,7 @@
                 span_ms: (begun.duration_since(since).as_millis() as u64).max(1),
                 demand,
                 traffic,
+                sights,
                 plan: held,
             };
             since = begun;
--- a/src/fleet/estimates.rs
+++ b/src/fleet/estimates.rs
@@ -242,6 +242,7 @@
             span_ms: 1_000,
             demand: Vec::new(),
             traffic: vec![line],
+            sights: BTreeMap::new(),
             plan: None,
         }
     }
--- a/src/fleet/evidence.rs
+++ b/src/fleet/evidence.rs
@@ -5,13 +5,20 @@
 //! sidecars join as one more site that looks; so a fleet of two sites loses one only where both sides agree, and a cut
 //! between the two is no loss. Where fewer than two sites look in all, there is no verdict, and sidecars go by their
 //! own judgement.
+//!
+//! Most of a site's traffic stays at home, so one sidecar tries another site seldom. Two things make up for it: a
+//! sidecar tells of its latest attempts in a row over several reports, and the sidecars of a site that have too few each
+//! for a vote have one together.
 
 use super::config::FleetConfig;
-use super::report::{Report, Traffic};
-use std::collections::BTreeMap;
+use super::report::{Report, Sight, Traffic};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// From how many attempts without any answer a sidecar calls a site dark: two can be one server's fall and a repeat.
 const DARK_ATTEMPTS: u64 = 3;
+/// How many sidecars of a site it takes whose attempts are too few each, where together they are enough: one's own
+/// way out may be what is dark.
+const POOLED: usize = 2;
 /// How many attempts one report weighs at most in [`Answers`]: enough that its percents stay exact, while no
 /// sidecar's counts outweigh the rest of the fleet.
 const MOST_WEIGHT: u64 = 100;
@@ -35,10 +42,12 @@
     pub outside: View,
     /// The view of the most of its own sidecars.
     pub inside: View,
-    /// Sidecars of other sites that have a vote.
+    /// Sidecars of other sites that tried it lately: those that have a vote, and those with too few attempts for one.
     pub witnesses: usize,
-    /// Those of them that see it dark.
+    /// Those of them that had no answer since.
     pub dark: usize,
+    /// Its own sidecars that had none.
+    pub dark_inside: usize,
 }
 
 /// What became of attempts to a site, over the whole fleet. A report weighs as 100 attempts at most.
@@ -92,10 +101,25 @@
 struct Votes {
     lit: usize,
     dark: usize,
+    /// Sidecars with attempts without any answer that are too few for a vote, and these attempts.
+    few: usize,
+    attempts: u64,
 }
 
 impl Votes {
+    /// Whether those with few attempts are a vote together: as many as one's, by more than one, and none sees it lit.
+    fn is_pooled(self) -> bool {
+        self.lit == 0 && self.few >= POOLED && self.attempts >= DARK_ATTEMPTS
+    }
+
+    fn is_any(self) -> bool {
+        self.lit + self.dark > 0 || self.is_pooled()
+    }
+
     fn view(self) -> View {
+        if self.is_pooled() {
+            return View::Dark;
+        }
         match self.dark.cmp(&self.lit) {
             std::cmp::Ordering::Greater => View::Dark,
             std::cmp::Ordering::Less => View::Lit,
@@ -128,15 +152,32 @@
 ) -> BTreeMap<String, Verdict> {
     // By the site looked at, then by the site that looks.
     let mut votes: BTreeMap<&str, BTreeMap<&str, Votes>> = BTreeMap::new();
+    let reports: Vec<&Report> = reports.filter(|report| config.sites.contains_key(&report.site)).collect();
+    // Which sites answered a sidecar of each site last.
+    let mut reached: BTreeMap<&str, BTreeSet<&str>> = BTreeMap::new();
+    for report in &reports {
+        let lit = report.sights.iter().filter(|(_, sight)| answers_now(sight)).map(|(site, _)| site.as_str());
+        reached.entry(report.site.as_str()).or_default().extend(lit);
+    }
     for report in reports {
         let (own, seen) = (report.site.as_str(), by_site(report, config));
-        let may_accuse = !is_cut_off(own, &seen, config);
-        for (site, sum) in seen {
+        let may_accuse = !is_cut_off(own, &seen, report, config);
+        let sighted =
+            report.sights.keys().map(String::as_str).filter(|site| config.sites.contains_key(*site));
+        let sites: BTreeSet<&str> = seen.keys().copied().chain(sighted).collect();
+        for site in sites {
+            let sum = seen.get(site).copied().unwrap_or_default();
+            let sight = report.sights.get(site).copied().unwrap_or_default();
+            // Without a sight the counts tell, which don't say what came last.
+            let dark = if sum.answered == 0 { sum.dark.max(sight.dark) } else { sight.dark };
             let vote = votes.entry(site).or_default().entry(own).or_default();
-            if sum.answered > 0 {
-                vote.lit += 1;
-            } else if sum.dark >= DARK_ATTEMPTS && may_accuse {
+            if dark >= DARK_ATTEMPTS && may_accuse {
                 vote.dark += 1;
+            } else if sum.answered > 0 {
+                vote.lit += 1;
+            } else if dark > 0 && reached[own].iter().any(|other| *other != own && *other != site) {
+                vote.few += 1;
+                vote.attempts += dark.min(DARK_ATTEMPTS - 1);
             }
         }
     }
@@ -145,10 +186,21 @@
     config.sites.keys().map(verdict).collect()
 }
 
+fn answers_now(sight: &Sight) -> bool {
+    sight.lit && sight.dark == 0
+}
+
 /// Whether a sidecar tried other sites and had no answer from any: then what is dark may be its own way out, and it
 /// testifies against none. In a fleet of two sites there is no third to tell by, so that an answer from its own
 /// has to do; the quorum there needs the accused site's own sidecars.
-fn is_cut_off(own: &str, seen: &BTreeMap<&str, Answers>, config: &FleetConfig) -> bool {
+fn is_cut_off(own: &str, seen: &BTreeMap<&str, Answers>, report: &Report, config: &FleetConfig) -> bool {
+    let lately = |own_site: bool| {
+        let known = |site: &String| config.sites.contains_key(site) && (site == own) == own_site;
+        report.sights.iter().any(|(site, sight)| answers_now(sight) && known(site))
+    };
+    if lately(false) {
+        return false;
+    }
     let any = |own_site: bool, what: fn(&Answers) -> bool| {
         seen.iter().any(|(site, sum)| (*site == own) == own_site && what(sum))
     };
@@ -160,12 +212,12 @@
 /// A verdict needs two sites that look, and a majority of the votes in more than half of them. With two sites at
 /// least, more than half are two, so that there are two witnesses from two sites.
 fn quorum(site: &str, votes: &BTreeMap<&str, Votes>) -> Verdict {
-    let has_vote = |votes: &Votes| votes.lit + votes.dark > 0;
-    let inside = votes.get(site).copied().filter(has_vote);
-    let outside = votes.iter().filter(|(from, votes)| **from != site && has_vote(votes));
-    let mut looking: Vec<Votes> = outside.map(|(_, votes)| *votes).collect();
-    let dark = looking.iter().map(|votes| votes.dark).sum();
-    let witnesses = looking.iter().map(|votes| votes.lit).sum::<usize>() + dark;
+    let own = votes.get(site).copied().unwrap_or_default();
+    let inside = Some(own).filter(|votes| votes.is_any());
+    let outside = votes.iter().filter(|(from, _)| **from != site).map(|(_, votes)| *votes);
+    let dark = outside.clone().map(|votes| votes.dark + votes.few).sum();
+    let witnesses = outside.clone().map(|votes| votes.lit).sum::<usize>() + dark;
+    let mut looking: Vec<Votes> = outside.filter(|votes| votes.is_any()).collect();
     if looking.len() < 2 {
         looking.extend(inside);
     }
@@ -174,7 +226,8 @@
         looking.len() >= 2 && 2 * sites > looking.len()
     };
     let outside = [View::Dark, View::Lit].into_iter().find(|view| has(*view)).unwrap_or_default();
-    Verdict { outside, inside: inside.map(Votes::view).unwrap_or_default(), witnesses, dark }
+    let dark_inside = own.dark + own.few;
+    Verdict { outside, inside: inside.map(Votes::view).unwrap_or_default(), witnesses, dark, dark_inside }
 }
 
 /// What the reports say of the answers of each site that any of them names. The darkness that a sidecar sees that is
@@ -186,7 +239,7 @@
     let mut total: BTreeMap<String, Answers> = BTreeMap::new();
     for report in reports {
         let seen = by_site(report, config);
-        let cut_off = is_cut_off(&report.site, &seen, config);
+        let cut_off = is_cut_off(&report.site, &seen, report, config);
         for (site, mut sum) in seen {
             if cut_off {
                 sum.dark = 0;
@@ -259,6 +312,7 @@
             span_ms: 1_000,
             demand: vec![],
             traffic: marks[1..].chunks(2).map(line).collect(),
+            sights: BTreeMap::new(),
             plan: None,
         }
     }
@@ -296,6 +350,34 @@
         assert_eq!((verdict.witnesses, verdict.dark), (3, 2));
     }
 
+    /// A report of sights alone: `lit` are the sites that answered last, `dark` those tried in vain since.
+    fn sighted(at: usize, own: char, lit: &str, dark: &[(char, u64)]) -> Report {
+        let lit = lit.chars().map(|site| (site.to_string(), Sight { lit: true, dark: 0 }));
+        let dark = dark.iter().map(|&(site, dark)| (site.to_string(), Sight { lit: true, dark }));
+        Report { sights: lit.chain(dark).collect(), ..report(at, &own.to_string()) }
+    }
+
+    #[test]
+    fn few_attempts_of_several_sidecars_in_a_row_over_reports_are_evidence() {
+        let view = |reports: &[Report]| judge(reports.iter(), &fleet("abc"))["b"].outside;
+        let own = |at, own, third: &str, dark| sighted(at, own, third, &[('b', dark)]);
+        // Three in a row by one of each site.
+        assert_eq!(view(&[own(0, 'a', "c", 3), own(1, 'c', "a", 3)]), View::Dark);
+        // Two of each site with one or two, where any of the site reaches the third.
+        let pooled = [own(0, 'a', "c", 2), own(1, 'a', "", 1), own(2, 'c', "a", 2), own(3, 'c', "a", 1)];
+        assert_eq!(view(&pooled), View::Dark);
+        let verdict = judge(pooled.iter(), &fleet("abc"))["b"];
+        assert_eq!((verdict.witnesses, verdict.dark), (4, 4), "they are doubt at least");
+        // One sidecar's two are no vote, nor are those of a site that reaches no third, or that one sees lit.
+        assert_eq!(view(&[own(0, 'a', "c", 2), own(2, 'c', "a", 2), own(3, 'c', "a", 1)]), View::Unknown);
+        assert_eq!(view(&[&pooled[..2], &[own(2, 'c', "", 2), own(3, 'c', "", 1)]].concat()), View::Unknown);
+        assert_eq!(view(&[&pooled[..], &[report(4, "ab+")]].concat()), View::Unknown);
+        // An answer before the attempts in the same report hides nothing.
+        let mut after = report(0, "ab+c+");
+        after.sights = own(0, 'a', "c", 3).sights;
+        assert_eq!(view(&[after, own(1, 'c', "a", 3)]), View::Dark);
+    }
+
     #[test]
     fn a_report_is_counted_once_and_weighs_little_whatever_it_says() {
         let (config, mut fresh) = (fleet("abc"), Fresh::default());
--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -12,7 +12,7 @@
 use super::looks::{LOOK, look};
 use super::placement::{Ask, Placement, place};
 use super::plan::{ANY, Plan, Shares, VALID_MS};
-use super::report::{Ledger, Report};
+use super::report::Ledger;
 use super::site::{self, SiteMachine, Window};
 use super::state::SiteState;
 use super::steering::{SteerInput, Steering};
@@ -28,9 +28,7 @@
 /// The time constant in ms by which the normal capacity of a site follows a list that has fewer servers: a tenant's
 /// share does not shrink because a site is lost.
 const NORMAL_MS: f64 = 600_000.0;
-/// From how many attempts without any answer one of a site's own sidecars holds it to be dark, and how many of
-/// them it takes where nobody outside looks.
-const DARK_ATTEMPTS: u64 = 3;
+/// How many of a site's own sidecars it takes to hold it dark where nobody outside has an answer from it.
 const DARK_OWN: usize = 2;
 
 /// What a tick is decided by.
@@ -178,8 +176,9 @@
         let mut answers = self.fresh.look(input.reports.live(now_ms), &self.config);
         for (name, site) in &mut self.sites {
             let mut verdict = verdicts.remove(name).unwrap_or_default();
-            if verdict.witnesses == 0 && verdict.inside == View::Dark && own_see_dark(input, name) {
-                // Nobody outside has any traffic there: it is the matter of its own sidecars alone.
+            let own_see_dark = verdict.inside == View::Dark && verdict.dark_inside >= DARK_OWN;
+            if verdict.witnesses == verdict.dark && own_see_dark {
+                // Nobody outside has any answer from there: it is the matter of its own sidecars alone.
                 verdict = Verdict { outside: View::Dark, ..verdict };
             }
             site.doubted = 2 * verdict.dark > verdict.witnesses;
@@ -306,16 +305,6 @@
     }
 }
 
-/// Whether enough of a site's own sidecars had no answer there.
-fn own_see_dark(input: &Input, site: &str) -> bool {
-    let dark = |report: &&Report| {
-        let there = report.traffic.iter().filter(|line| line.site == site);
-        let (answered, dark) = there.fold((0, 0), |sum, line| (sum.0 + line.answered, sum.1 + line.dark));
-        report.site == site && answered == 0 && dark >= DARK_ATTEMPTS
-    };
-    input.reports.live(input.now_ms).filter(dark).count() >= DARK_OWN
-}
-
 /// The work that is taken by origin and tenant.
 fn taken(asks: &[Ask], placement: &Placement) -> BTreeMap<(String, String), f64> {
     let mut work = BTreeMap::new();
--- a/src/fleet/planner_tests.rs
+++ b/src/fleet/planner_tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::fleet::config::{ClassConfig, SiteConfig, TenantConfig};
-use crate::fleet::report::{Demand as Line, Traffic};
+use crate::fleet::report::{Demand as Line, Report, Traffic};
 
 const TICK: u64 = 250;
 /// What is asked of one sidecar in a second, in requests of 10 ms.
@@ -89,6 +89,7 @@
                 span_ms: 1_000,
                 demand: vec![line("dear", 0.4), line("cheap", 0.4), line("list", 0.2)],
                 traffic: self.traffic(site, lit),
+                sights: BTreeMap::new(),
                 plan: None,
             };
             self.ledger.take(report, 0, self.now).expect("a newer one");
--- a/src/fleet/report.rs
+++ b/src/fleet/report.rs
@@ -49,6 +49,16 @@
     pub latencies: Latencies,
 }
 
+/// How a sidecar sees a site, over more than one report: a small share of its traffic goes to most sites, so that one
+/// report seldom has enough of them to tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sight {
+    /// Whether it has answered lately: within the reports that count at a time.
+    pub lit: bool,
+    /// Attempts without any answer since the last answer; 0 where the last of them is not lately.
+    pub dark: u64,
+}
+
 /// A sidecar's report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -66,6 +76,9 @@
     pub demand: Vec<Demand>,
     /// What became of it.
     pub traffic: Vec<Traffic>,
+    /// How it sees the sites that it tried lately.
+    #[serde(default)]
+    pub sights: BTreeMap<String, Sight>,
     /// The plan that it goes by, and for how long already in ms; `None` where it goes by its own judgement.
     pub plan: Option<(PlanMark, u64)>,
 }
@@ -98,7 +111,7 @@
         if self.sequence == 0 || !(1..=MOST_SPAN_MS).contains(&self.span_ms) {
             return bad("sequence or span_ms");
         }
-        if self.demand.len() + self.traffic.len() > MOST_LINES {
+        if self.demand.len() + self.traffic.len() + self.sights.len() > MOST_LINES {
             return bad("the number of lines");
         }
         // An empty tenant is one that the request did not name.
@@ -117,6 +130,9 @@
                 return bad("a line of traffic");
             }
         }
+        if !self.sights.iter().all(|(site, sight)| name(site) && sight.dark <= MOST_COUNT) {
+            return bad("a sight");
+        }
         Ok(())
     }
 }
@@ -199,6 +215,7 @@
             span_ms: 1_000,
             demand: Vec::new(),
             traffic: Vec::new(),
+            sights: BTreeMap::new(),
             plan: None,
         }
     }
@@ -242,6 +259,7 @@
             Report { traffic: vec![Traffic { served: 2, ..traffic.clone() }], ..good.clone() },
             Report { traffic: vec![Traffic { dark: u64::MAX, ..traffic }], ..good.clone() },
             Report { demand: vec![Demand { work_ms: f64::NAN, ..demand.clone() }], ..good.clone() },
+            Report { sights: BTreeMap::from([(String::new(), Sight::default())]), ..good.clone() },
             Report { demand: vec![Demand { refused: 2, ..demand.clone() }], ..good.clone() },
             Report { demand: vec![demand; MOST_LINES + 1], ..good },
         ] {
--- a/src/fleet/steering_tests.rs
+++ b/src/fleet/steering_tests.rs
@@ -104,6 +104,7 @@
             span_ms: 1_000,
             demand: Vec::new(),
             traffic: lines.collect(),
+            sights: BTreeMap::new(),
             plan: None,
         }
     }
--- a/src/fleet/tally.rs
+++ b/src/fleet/tally.rs
@@ -1,7 +1,7 @@
 //! What a sidecar counts for its reports. It goes by indices, since it is fed with each request.
 
 use super::latency::Latencies;
-use super::report::{Demand, Traffic};
+use super::report::{Demand, Sight, Traffic};
 use super::route::Names;
 use crate::api::Outcome;
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,6 +11,8 @@
 const MOST_LINES: usize = 128;
 /// So many attempts without any answer look dark: one or two are chance.
 const DARK: u64 = 3;
+/// What was seen of a site is told in so many reports: as long as one counts, at one a second.
+const TOLD: u8 = 3;
 /// Weight of one request in the running mean of a class's work.
 const WORK_GAIN: f64 = 1.0 / 32.0;
 
@@ -30,6 +32,15 @@
     latencies: Latencies,
 }
 
+/// How a zone was seen, and in how many reports each part has been told.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    /// `None` where it has not answered lately.
+    lit: Option<u8>,
+    dark: u64,
+    dark_told: u8,
+}
+
 /// Counts since the last report.
 #[derive(Debug, Default)]
 pub struct Tally {
@@ -38,6 +49,9 @@
     /// Running means of the classes' work by the clients' hints, or, where there are none, of the answers' time.
     work: BTreeMap<usize, f64>,
     hinted: BTreeSet<usize>,
+    /// Zones that were tried lately. It outlives a report: the order of answers and of attempts without any tells
+    /// more than their counts, and a zone that is tried seldom is not seen within one.
+    seen: BTreeMap<u16, Seen>,
     /// Zones that looked dark at the last report, and have not answered since.
     reported: BTreeSet<u16>,
 }
@@ -77,6 +91,17 @@
     pub fn note_outcome(
         &mut self, zone: u16, (tenant, class): (Option<u16>, usize), outcome: Outcome, ms: f64,
     ) {
+        let seen = self.seen.entry(zone).or_default();
+        match outcome {
+            Outcome::Ok | Outcome::Error | Outcome::Full => {
+                *seen = Seen { lit: Some(0), ..Seen::default() };
+                self.reported.remove(&zone);
+            }
+            Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset => {
+                (seen.dark, seen.dark_told) = (seen.dark + 1, 0);
+            }
+            Outcome::Cancelled | Outcome::Moot => {}
+        }
         let sent = line(&mut self.sent, (zone, tenant), (zone, None));
         match outcome {
             Outcome::Ok => {
@@ -98,33 +123,38 @@
         *mean += (work - *mean) * WORK_GAIN;
     }
 
-    /// Answers and attempts without any, by zone.
-    fn seen(&self) -> BTreeMap<u16, (u64, u64)> {
-        let mut seen = BTreeMap::<u16, (u64, u64)>::new();
-        for ((zone, _), sent) in &self.sent {
-            let of = seen.entry(*zone).or_default();
-            *of = (of.0 + sent.answered, of.1 + sent.dark);
-        }
-        seen
-    }
-
     /// Whether a zone looks dark that did not at the last report: that is reported at once.
     pub fn turned_dark(&self) -> bool {
-        let dark = |&(answered, dark): &(u64, u64)| answered == 0 && dark >= DARK;
-        self.seen().iter().any(|(zone, seen)| dark(seen) && !self.reported.contains(zone))
+        self.seen.iter().any(|(zone, seen)| seen.dark >= DARK && !self.reported.contains(zone))
     }
 
     /// Takes the counts out, for the next report.
     pub fn take(&mut self) -> Tally {
-        for (zone, (answered, dark)) in self.seen() {
-            if answered > 0 {
-                self.reported.remove(&zone);
-            } else if dark >= DARK {
-                self.reported.insert(zone);
-            }
-        }
         let (asked, sent) = (std::mem::take(&mut self.asked), std::mem::take(&mut self.sent));
-        Tally { asked, sent, ..Tally::default() }
+        let taken = Tally { asked, sent, seen: self.seen.clone(), ..Tally::default() };
+        self.seen.retain(|zone, seen| {
+            seen.lit = seen.lit.map(|told| told + 1).filter(|told| *told < TOLD);
+            seen.dark_told += 1;
+            if seen.dark_told >= TOLD {
+                seen.dark = 0;
+            }
+            if seen.dark >= DARK {
+                self.reported.insert(*zone);
+            } else {
+                self.reported.remove(zone);
+            }
+            seen.lit.is_some() || seen.dark > 0
+        });
+        taken
+    }
+
+    /// How the zones that were tried lately are seen, for a report.
+    pub fn sights(&self, names: Names) -> BTreeMap<String, Sight> {
+        let sight = |(zone, seen): (&u16, &Seen)| {
+            let sight = Sight { lit: seen.lit.is_some(), dark: seen.dark };
+            Some((names.zones.get(usize::from(*zone))?.clone(), sight))
+        };
+        self.seen.iter().filter_map(sight).filter(|(_, sight)| *sight != Sight::default()).collect()
     }
 
     /// The lines of a report. A zone without a name is left out, and a tenant without one is not named.
@@ -173,7 +203,10 @@
         tally.note_refused(None, 1);
         tally.note_sent(u16::MAX, None);
         assert!(!tally.turned_dark());
-        let (demand, traffic) = tally.take().lines(names);
+        let taken = tally.take();
+        let taken_sights = taken.sights(names);
+        assert_eq!(taken_sights, BTreeMap::from([("b".to_owned(), Sight { lit: true, dark: 1 })]));
+        let (demand, traffic) = taken.lines(names);
         // What is not hinted at is taken as the usual.
         let asked = |line: &Demand| (line.tenant.clone(), line.requests, line.work_ms, line.refused);
         let of = |tenant: &str, requests, work, refused| (tenant.to_owned(), requests, work, refused);
@@ -182,8 +215,17 @@
         let counts = |t: &Traffic| (t.sent, t.answered, t.served, t.dark, t.latencies.count());
         assert_eq!(traffic.iter().map(counts).collect::<Vec<_>>(), [(3, 1, 0, 1, 0), (2, 2, 1, 0, 1)]);
         let (origin, site) = ("n1".to_owned(), "a".to_owned());
-        let report =
-            Report { origin, incarnation: 1, sequence: 1, site, span_ms: 9, demand, traffic, plan: None };
+        let report = Report {
+            origin,
+            incarnation: 1,
+            sequence: 1,
+            site,
+            span_ms: 9,
+            demand,
+            traffic,
+            sights: taken_sights,
+            plan: None,
+        };
         assert_eq!(report.check(), Ok(()));
         assert!(tally.take().lines(names).1.is_empty(), "counted once");
     }
@@ -207,6 +249,27 @@
         assert!(tally.turned_dark(), "it had answered");
     }
 
+    #[test]
+    fn what_is_tried_seldom_is_told_for_as_long_as_a_report_counts_and_by_its_order() {
+        let zones = ["a".to_owned()];
+        let names = Names { zones: &zones, tenants: &[], classes: &[] };
+        let mut tally = Tally::default();
+        let sight = |lit, dark| BTreeMap::from([("a".to_owned(), Sight { lit, dark })]);
+        tally.note_outcome(0, (None, 0), Outcome::Timeout, 1.0);
+        tally.note_outcome(0, (None, 0), Outcome::Ok, 1.0);
+        tally.note_outcome(0, (None, 0), Outcome::Reset, 1.0);
+        assert_eq!(tally.take().sights(names), sight(true, 1), "what was before the answer is past");
+        for dark in [2, 3] {
+            tally.note_outcome(0, (None, 0), Outcome::Reset, 1.0);
+            assert_eq!(tally.turned_dark(), dark == 3);
+            assert_eq!(tally.take().sights(names), sight(true, dark));
+        }
+        for _ in 1..TOLD {
+            assert_eq!(tally.take().sights(names), sight(false, 3));
+        }
+        assert!(tally.take().sights(names).is_empty());
+    }
+
     #[test]
     fn tenants_without_end_take_no_memory_without_end() {
         let mut tally = Tally::default();
