Sidecar: an attempt that is cancelled after its aim without an answer tells of darkness

Requests at a silent site are served elsewhere before their attempt there times out, and their attempts are then cancelled: they were counted as if they told nothing of the site. An attempt without an answer within its class's aim is now counted as one that timed out, in the reports alone: the module is told of it as before.

--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -460,6 +460,11 @@
                 flight.out.take()?.abort();
                 let took = flight.sent.elapsed();
                 let progress = if owed.answer.is_some() { Progress::Owed } else { Progress::Ended };
+                // A request that a silent site sits on is served elsewhere long before its attempt there times out.
+                let aim =
+                    self.config.settings.classes.get(owed.class).map_or(Duration::MAX, |class| class.aim);
+                let seen = if took >= aim { Outcome::Timeout } else { Outcome::Cancelled };
+                self.count_outcome(id, attempt, seen, took);
                 self.forget(id);
                 return Some(Event::Outcome { id, attempt, outcome: Outcome::Cancelled, took, progress });
             }
