Sidecar: each process of an upgrade is an origin of its own; a 409 is no failure

Need: two processes of one sidecar reported under one name, so that the elder one's counts were refused as older while it still served, and each refusal cost it a backoff and a move to the next instance. Change: where the clients' socket is the platform's, the origin is the name and the process's incarnation; a report that is answered 409 counts as delivered.

--- a/src/bin/juniperspoke/fleet.rs
+++ b/src/bin/juniperspoke/fleet.rs
@@ -79,6 +79,8 @@
 
 struct Fleet {
     config: Arc<Config>,
+    /// Another process of this sidecar may run beside this one.
+    shared: bool,
     driver: Handle,
     dark: Arc<Notify>,
     /// Where the plan's clock begins.
@@ -86,12 +88,13 @@
     held: RefCell<Held>,
 }
 
-/// Starts the thread, if the configuration makes the sidecar part of a fleet. It goes with the process.
-pub fn start(config: Arc<Config>, driver: Handle, dark: Arc<Notify>) -> io::Result<()> {
+/// Starts the thread, if the configuration makes the sidecar part of a fleet. It goes with the process. `shared` says
+/// that another process of the sidecar may run beside this one.
+pub fn start(config: Arc<Config>, driver: Handle, dark: Arc<Notify>, shared: bool) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let run = move || {
-        let fleet =
-            Fleet { config, driver, dark, origin: Instant::now(), held: RefCell::new(Held::default()) };
+        let (origin, held) = (Instant::now(), RefCell::new(Held::default()));
+        let fleet = Fleet { config, shared, driver, dark, origin, held };
         if let Some(calls) = &fleet.config.fleet {
             runtime.block_on(async { tokio::join!(fleet.report(calls), fleet.follow(calls)) });
         }
@@ -109,6 +112,15 @@
         self.origin.elapsed().as_millis() as u64
     }
 
+    /// Who reports. Of two processes of one sidecar under one name only the later one's reports would count, while
+    /// both serve for the seconds of an upgrade. So each is an origin of its own where there may be two: what both
+    /// count adds up, a site has two votes of that sidecar for as long as both see it, and the elder's last report
+    /// ceases to count after 3 s like any other. One that has sent nothing yet has no vote.
+    fn reporter(&self, incarnation: u64) -> String {
+        let name = &self.config.name;
+        if self.shared { format!("{name}+{incarnation}") } else { name.clone() }
+    }
+
     /// Reports for good: in turn, and early when a site newly looks dark. One that fails goes to the next instance,
     /// as it may tell of the loss that has taken the first. What none takes is gone: an answer of before a loss must
     /// not light in a later report what has gone dark since.
@@ -132,7 +144,7 @@
             let held = self.held.borrow().acting_since(self.now_ms());
             let zone = usize::from(self.config.settings.zone);
             let report = Report {
-                origin: self.config.name.clone(),
+                origin: self.reporter(incarnation),
                 incarnation,
                 sequence,
                 site: self.config.surroundings.zones.get(zone).cloned().unwrap_or_default(),
@@ -210,8 +222,10 @@
     }
 }
 
+/// One as new is held there (409): the planner has it, so there is nothing to send anywhere else.
 async fn send(line: &mut Line, to: SocketAddr, report: &Report) -> Result<(), CallError> {
     let request = Request::post("/fleet/reports").header("Content-Type", "application/json");
     let (status, _) = line.call(to, request, serde_json::to_vec(report)?, MAX_ANSWER).await?;
-    if status.is_success() { Ok(()) } else { Err(CallError::Status(status)) }
+    let held = status.is_success() || status == StatusCode::CONFLICT;
+    if held { Ok(()) } else { Err(CallError::Status(status)) }
 }
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -155,7 +155,7 @@
     tokio::spawn(reload(hangup, moved));
     tokio::spawn(discovery::follow(config.clone(), at, revision, subscribe, handle.clone()));
     if let Some(dark) = dark {
-        fleet::start(config.clone(), handle.clone(), dark)?;
+        fleet::start(config.clone(), handle.clone(), dark, shared)?;
     }
     tracing::info!("{}: listening on {}", config.name, listener.local_addr()?);
     let listening = tokio::spawn({
