Fleet: a bound on the origins whose reports are held

Need: an origin is whatever a caller says, so that the ledger took memory without end. Change: 4,096 origins at most; one more is refused with a typed error, 507 over HTTP, after what is long past was dropped. Tested: the unit test of the bound, with the refusal, an update at the bound and room again once the first are forgotten.

--- a/src/bin/listd/fleet_http.rs
+++ b/src/bin/listd/fleet_http.rs
@@ -115,6 +115,7 @@
         Err(error @ (ReportError::Older | ReportError::Past)) => {
             plain(StatusCode::CONFLICT, &error.to_string())
         }
+        Err(error @ ReportError::Full) => plain(StatusCode::INSUFFICIENT_STORAGE, &error.to_string()),
     }
 }
 
--- a/src/fleet/report.rs
+++ b/src/fleet/report.rs
@@ -14,6 +14,9 @@
 const MOST_COUNT: u64 = 10_000_000;
 /// The longest time that one report may speak of, in ms.
 const MOST_SPAN_MS: u64 = 60_000;
+/// The most origins whose reports are held: 300 sidecars many times over, restarts and upgrades included. Names are
+/// what callers say they are, and must not take memory without end.
+const MOST_ORIGINS: usize = 4_096;
 
 /// What was asked for of a tenant in a class, since the last report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -82,6 +85,9 @@
     /// It had ceased to count before it came.
     #[error("past its time")]
     Past,
+    /// Reports of as many origins as may be are held.
+    #[error("too many origins")]
+    Full,
 }
 
 impl Report {
@@ -148,7 +154,8 @@
     ///
     /// # Errors
     /// [`ReportError::Malformed`]; [`ReportError::Older`] where one with as high an incarnation and sequence is
-    /// held; [`ReportError::Past`]. None of them changes anything.
+    /// held; [`ReportError::Past`]; [`ReportError::Full`] where it would be one origin too many, though what is long
+    /// past was dropped. None of them changes what is held.
     pub fn take(&mut self, report: Report, age_ms: u64, now_ms: u64) -> Result<(), ReportError> {
         report.check()?;
         if age_ms >= COUNTS_MS {
@@ -158,6 +165,12 @@
         if self.latest.get(&report.origin).is_some_and(|held| mark(&held.report) >= mark(&report)) {
             return Err(ReportError::Older);
         }
+        if self.latest.len() >= MOST_ORIGINS && !self.latest.contains_key(&report.origin) {
+            self.sweep(now_ms);
+            if self.latest.len() >= MOST_ORIGINS {
+                return Err(ReportError::Full);
+            }
+        }
         let since = now_ms.saturating_sub(age_ms);
         self.latest.insert(report.origin.clone(), Entry { report, since });
         Ok(())
@@ -229,6 +242,18 @@
         assert_eq!(ledger.take(report(5, 10), 0, 20_000), Err(ReportError::Older), "still remembered");
     }
 
+    #[test]
+    fn no_more_origins_are_held_than_may_be_until_some_are_long_past() {
+        let (mut ledger, of) =
+            (Ledger::default(), |n: usize| Report { origin: n.to_string(), ..report(5, 1) });
+        assert!((0..MOST_ORIGINS).all(|n| ledger.take(of(n), 0, n as u64 / 64) == Ok(())));
+        assert_eq!(ledger.take(of(MOST_ORIGINS), 0, 10 * COUNTS_MS - 1), Err(ReportError::Full));
+        let newer = Report { sequence: 2, ..of(MOST_ORIGINS - 1) };
+        assert_eq!(ledger.take(newer, 0, 100), Ok(()), "it is one of them");
+        assert_eq!(ledger.take(of(MOST_ORIGINS), 0, 10 * COUNTS_MS), Ok(()), "the first are forgotten");
+        assert_eq!(ledger.latest.len(), MOST_ORIGINS + 1 - 64);
+    }
+
     #[test]
     fn what_is_out_of_bounds_is_refused_whole() {
         let traffic = Traffic { site: "b".to_owned(), answered: 1, served: 1, sent: 1, ..Traffic::default() };
