Fleet: a draining site gives up its load evenly over 5 s, and is empty before its window

Need: at the begin of a window's lead a site's whole load fell on the others at once, on cold servers and windows that had not grown. Change: the weight falls evenly, a whole load within 5 s; whatever the lead is, it is none 1 s before the start, and in the window. The plan's ramp carries it, so that the next planner goes on down. A drain that is called off goes back from the highest step of the ramp within what is left. The calendar tells the time to the start.

--- a/src/bin/listd/planner.rs
+++ b/src/bin/listd/planner.rs
@@ -94,7 +94,7 @@
 fn tick(node: &Node, planner: &mut Planner) -> Plan {
     let servers = node.servers();
     let (now_ms, unix_ms) = (node.now_ms(), node.unix_ms());
-    let out = node.shared.store().fleet().maintenance().calendar().sites();
+    let out = node.shared.store().fleet().maintenance().calendar().sites(unix_ms);
     node.reports.with(now_ms, |reports| {
         planner.tick(&Input { now_ms, unix_ms, reports, servers: &servers, out: &out })
     })
--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -41,7 +41,7 @@
     /// The share of the whole fleet's traffic that one unit of capacity (a server's size, as warm as it is) of
     /// a cold server may draw. `None` where the sidecars' own rule is enough.
     pub cold_share: Option<f64>,
-    /// The part of its load that each site takes which is on its way back, from 0 to 1.
+    /// The part of its load that each site takes which is on its way back or draining, from 0 to 1.
     pub ramp: BTreeMap<String, f64>,
     /// Sites on the first steps of their return: only classes that are safe to repeat go there.
     pub trial: Vec<String>,
--- a/src/fleet/planner.rs
+++ b/src/fleet/planner.rs
@@ -266,7 +266,7 @@
             shares,
             admit: self.admit(&placement),
             cold_share: cold_share(&self.config, input.servers, input.unix_ms, self.demand.highest()),
-            ramp: of(|machine| machine.state() == SiteState::Returning)
+            ramp: of(|machine| matches!(machine.state(), SiteState::Returning | SiteState::Draining))
                 .map(|(name, site)| (name, site.machine.weight()))
                 .collect(),
             trial: of(SiteMachine::is_trial).map(|(name, _)| name).collect(),
--- a/src/fleet/planner_tests.rs
+++ b/src/fleet/planner_tests.rs
@@ -205,8 +205,19 @@
     let admitted = |world: &World| ["dear", "cheap", "list"].map(|class| world.plan.admitted("t", class));
     let [dear, cheap, list] = admitted(&world);
     assert!(dear == 1.0 && list == 1.0 && (cheap - 0.5).abs() < 0.02, "{cheap}");
-    world.out.insert("d".to_owned(), Window::Draining);
-    world.tick(&all);
+    world.out.insert("d".to_owned(), Window::Draining { left_ms: 600_000 });
+    world.run(2_500, &all);
+    let half = world.share("d", "d");
+    assert!(world.plan.sites["d"] == SiteState::Draining && (0.2..0.8).contains(&half), "{half}");
+    // A planner that takes over in the midst gives none of it back.
+    let plan = world.plan.clone();
+    world.planner = Planner::new(config());
+    world.planner.resume(&plan, world.now);
+    for _ in 0..8 {
+        world.tick(&all);
+        assert!(world.share("d", "d") <= half + 1e-9, "{}", world.share("d", "d"));
+    }
+    world.run(4_000, &all);
     assert_eq!((world.plan.sites["d"], world.share("d", "d")), (SiteState::Draining, 0.0));
     // Without d 24,000 fit.
     world.run(1_000, &all);
--- a/src/fleet/site.rs
+++ b/src/fleet/site.rs
@@ -32,6 +32,12 @@
 /// evidence there is little to break, and the next step brings more of it.
 const QUIET_MS: u64 = 10_000;
 
+/// How long a whole load takes to leave a draining site, in ms: the other sites' sidecars' windows and connections
+/// grow with what comes, some percent at a time, and the planner sees each step's demand in a report.
+const DRAIN_MS: u64 = 5_000;
+/// It is empty so long before its window starts, in ms: a plan is with every sidecar by then.
+const FOLLOW_MS: u64 = 1_000;
+
 /// What the maintenance calendar says of the site now.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Window {
@@ -39,7 +45,10 @@
     #[default]
     None,
     /// Its window is near.
-    Draining,
+    Draining {
+        /// The time to its start, in ms.
+        left_ms: u64,
+    },
     /// It is in its window.
     Out,
 }
@@ -62,17 +71,37 @@
 enum Phase {
     Serving,
     Suspect(Suspicion),
-    Lost {
-        until: u64,
-    },
+    Lost { until: u64 },
     Returning(Step),
-    Draining {
-        /// Since when it has been seen dark.
-        dark: Option<u64>,
-    },
+    Draining(Drain),
     Maintenance,
 }
 
+/// How far a site's drain is.
+#[derive(Clone, Copy, Debug)]
+struct Drain {
+    /// The part of its load that it still takes.
+    weight: f64,
+    /// The latest step's time.
+    now: u64,
+    /// Since when it has been seen dark.
+    dark: Option<u64>,
+}
+
+impl Drain {
+    fn new(weight: f64, now: u64) -> Drain {
+        Drain { weight, now, dark: None }
+    }
+
+    /// Falls evenly, and is empty in time whatever the lead is.
+    fn go_on(self, now: u64, left_ms: u64) -> Drain {
+        let part = |ms: u64| ms as f64 / DRAIN_MS as f64;
+        let falling = self.weight - part(now.saturating_sub(self.now));
+        let weight = falling.min(part(left_ms.saturating_sub(FOLLOW_MS))).max(0.0);
+        Drain { weight, now, ..self }
+    }
+}
+
 /// What is known against a suspect site.
 #[derive(Clone, Copy, Debug)]
 struct Suspicion {
@@ -103,6 +132,11 @@
 }
 
 impl Step {
+    /// The highest step that is within a part of the load.
+    fn within(weight: f64, now: u64) -> Step {
+        Step::new(RAMP.iter().rposition(|part| *part <= weight + 1e-9).unwrap_or(0), now)
+    }
+
     fn new(at: usize, now: u64) -> Step {
         Step { at, began: now, counts: now + LAG_MS, evidence: Answers::default() }
     }
@@ -135,17 +169,16 @@
 
     /// One that goes on at `now_ms` from what the last plan said of the site. A lost one is held down for the
     /// shortest time anew, a suspect one is confirmed anew, a returning one begins its step again (the highest one
-    /// that is within `weight`). How often the site flapped is not in the plan: a loss on the resumed return counts
+    /// that is within `weight`), a draining one goes on down from `weight`. How often the site flapped is not in the plan: a loss on the resumed return counts
     /// as the second.
     pub fn resume(state: SiteState, weight: f64, now_ms: u64) -> SiteMachine {
-        let at = RAMP.iter().rposition(|part| *part <= weight + 1e-9).unwrap_or(0);
         let lost = matches!(state, SiteState::Lost | SiteState::Returning);
         let phase = match state {
             SiteState::Serving => Phase::Serving,
             SiteState::Suspect => Phase::Suspect(Suspicion::new(now_ms)),
             SiteState::Lost => Phase::Lost { until: now_ms + HOLD_MS },
-            SiteState::Returning => Phase::Returning(Step::new(at, now_ms)),
-            SiteState::Draining => Phase::Draining { dark: None },
+            SiteState::Returning => Phase::Returning(Step::within(weight, now_ms)),
+            SiteState::Draining => Phase::Draining(Drain::new(weight.clamp(0.0, 1.0), now_ms)),
             SiteState::Maintenance => Phase::Maintenance,
         };
         SiteMachine { phase, flap: lost.then_some((HOLD_MS, now_ms)) }
@@ -156,17 +189,17 @@
         let now = input.now_ms;
         self.phase = match (self.phase, input.window) {
             (_, Window::Out) => Phase::Maintenance,
-            (Phase::Maintenance, Window::Draining) => Phase::Draining { dark: None },
+            (Phase::Maintenance, Window::Draining { .. }) => Phase::Draining(Drain::new(0.0, now)),
             (Phase::Maintenance, Window::None) => {
                 // It was mended: what it was before is past. Its servers may be cold.
                 self.flap = None;
                 Phase::Returning(Step::new(0, now))
             }
             (Phase::Lost { until }, window) => self.lost(until, window, input),
-            (Phase::Draining { dark }, window) => self.draining(dark, window, input),
-            (_, Window::Draining) => {
+            (Phase::Draining(drain), window) => self.draining(drain, window, input),
+            (_, Window::Draining { left_ms }) => {
                 let dark = (input.verdict.outside == View::Dark).then_some(now);
-                Phase::Draining { dark }
+                Phase::Draining(Drain { dark, ..Drain::new(self.weight(), now).go_on(now, left_ms) })
             }
             (Phase::Serving, Window::None) if input.verdict.outside == View::Dark => {
                 Phase::Suspect(Suspicion::new(now))
@@ -185,7 +218,7 @@
             Phase::Suspect(_) => SiteState::Suspect,
             Phase::Lost { .. } => SiteState::Lost,
             Phase::Returning(_) => SiteState::Returning,
-            Phase::Draining { .. } => SiteState::Draining,
+            Phase::Draining(_) => SiteState::Draining,
             Phase::Maintenance => SiteState::Maintenance,
         }
     }
@@ -196,7 +229,8 @@
             Phase::Serving => 1.0,
             Phase::Suspect(_) => 0.5,
             Phase::Returning(step) => RAMP[step.at],
-            Phase::Lost { .. } | Phase::Draining { .. } | Phase::Maintenance => 0.0,
+            Phase::Draining(drain) => drain.weight,
+            Phase::Lost { .. } | Phase::Maintenance => 0.0,
         }
     }
 
@@ -246,26 +280,24 @@
         if now < until || input.verdict.outside == View::Dark {
             return Phase::Lost { until };
         }
-        if window == Window::Draining {
-            return Phase::Draining { dark: None };
+        if window != Window::None {
+            return Phase::Draining(Drain::new(0.0, now));
         }
         self.returned(now);
         Phase::Returning(Step::new(0, now))
     }
 
-    fn draining(&mut self, dark: Option<u64>, window: Window, input: &Input) -> Phase {
+    /// One that is called off goes back by the ramp from the step that it still has.
+    fn draining(&mut self, drain: Drain, window: Window, input: &Input) -> Phase {
         let now = input.now_ms;
-        if input.verdict.outside == View::Dark {
-            let dark = dark.unwrap_or(now);
-            return if now.saturating_sub(dark) >= CONFIRM_MS {
-                self.lose(now)
-            } else {
-                Phase::Draining { dark: Some(dark) }
-            };
+        let dark = (input.verdict.outside == View::Dark).then(|| drain.dark.unwrap_or(now));
+        if dark.is_some_and(|since| now.saturating_sub(since) >= CONFIRM_MS) {
+            return self.lose(now);
         }
         match window {
-            Window::None => Phase::Returning(Step::new(0, now)),
-            Window::Draining | Window::Out => Phase::Draining { dark: None },
+            Window::None if dark.is_none() => Phase::Returning(Step::within(drain.weight, now)),
+            Window::None | Window::Out => Phase::Draining(Drain { dark, now, ..drain }),
+            Window::Draining { left_ms } => Phase::Draining(Drain { dark, ..drain.go_on(now, left_ms) }),
         }
     }
 
@@ -486,11 +518,12 @@
     #[test]
     fn windows_take_a_site_out_and_give_it_back_by_the_ramp() {
         let mut machine = SiteMachine::new();
+        let draining = Window::Draining { left_ms: 60_000 };
         for (now_ms, window, outside, state) in [
-            (0, Window::Draining, View::Lit, Draining),
-            (250, Window::Draining, View::Dark, Draining),
-            (750, Window::Draining, View::Dark, Lost),
-            (5_750, Window::Draining, View::Unknown, Draining),
+            (0, draining, View::Lit, Draining),
+            (250, draining, View::Dark, Draining),
+            (750, draining, View::Dark, Lost),
+            (5_750, draining, View::Unknown, Draining),
             (6_000, Window::Out, View::Dark, Maintenance),
             (6_250, Window::Out, View::Dark, Maintenance),
             (9_000, Window::None, View::Dark, Returning),
@@ -506,6 +539,33 @@
         assert!(machine.is_trial());
     }
 
+    #[test]
+    fn a_draining_site_gives_up_its_load_evenly_and_has_none_when_its_window_starts() {
+        let mut machine = SiteMachine::new();
+        let lead = |left_ms| Window::Draining { left_ms };
+        for (now_ms, window, state, weight) in [
+            (0, lead(60_000), Draining, 1.0),
+            (2_000, lead(58_000), Draining, 0.6),
+            // Called off, it keeps what it has of the ramp; and asked for again it begins from there.
+            (2_250, Window::None, Returning, 0.4),
+            (2_500, lead(60_000), Draining, 0.4),
+            (3_000, lead(59_500), Draining, 0.3),
+            // A lead that is too short for that does not leave more at its end.
+            (3_250, lead(1_500), Draining, 0.1),
+            (3_500, lead(1_000), Draining, 0.0),
+            (3_750, Window::Out, Maintenance, 0.0),
+        ] {
+            machine.step(&Input { now_ms, window, ..Input::default() });
+            assert!((machine.weight() - weight).abs() < 1e-9, "{now_ms}: {}", machine.weight());
+            assert_eq!(machine.state(), state);
+            // The next planner goes on from there.
+            machine = SiteMachine::resume(state, machine.weight(), now_ms);
+        }
+        machine = SiteMachine::new();
+        assert_eq!(machine.step(&Input { window: Window::Out, ..Input::default() }), Maintenance);
+        assert_eq!(machine.weight(), 0.0);
+    }
+
     proptest! {
         #![proptest_config(ProptestConfig {
             rng_seed: RngSeed::Fixed(7),
@@ -521,11 +581,13 @@
             for (ms, view, dark, served, bad, window) in steps {
                 now_ms += ms;
                 let outside = [View::Unknown, View::Lit, View::Dark][view as usize];
-                let window = [Window::Draining, Window::Out].get(window as usize).copied().unwrap_or_default();
+                let window = [Window::Draining { left_ms: 30_000 }, Window::Draining { left_ms: 2_000 }, Window::Out].get(window as usize).copied().unwrap_or_default();
                 let answers = good(served + bad, served);
                 let (before, from) = (machine.state(), machine.weight());
                 let to = machine.step(&Input { now_ms, verdict: seen(outside, 4, dark.min(4)), answers, window });
                 let next = RAMP.iter().copied().find(|part| *part > from).unwrap_or(1.0);
+                prop_assert!(to != Draining || machine.weight() <= from);
+                prop_assert!(to != Maintenance || machine.weight() == 0.0);
                 prop_assert!(machine.weight() <= next || (before, to) == (Suspect, Serving));
                 let by_ramp = before == Suspect || before == Returning && from == 1.0;
                 prop_assert!(to != Serving || before == Serving || by_ramp);
--- a/src/fleet/windows.rs
+++ b/src/fleet/windows.rs
@@ -37,11 +37,12 @@
         self.now.max(now)
     }
 
-    /// What the site machines go by: the sites whose windows are under way.
-    pub fn sites(&self) -> BTreeMap<String, site::Window> {
+    /// What the site machines go by at `now`: the sites whose windows are under way.
+    pub fn sites(&self, now: u64) -> BTreeMap<String, site::Window> {
+        let now = self.time(now);
         let under_way = self.windows.values().filter_map(|window| {
             let state = match window.state {
-                WindowState::Draining => site::Window::Draining,
+                WindowState::Draining => site::Window::Draining { left_ms: window.start.saturating_sub(now) },
                 WindowState::Active => site::Window::Out,
                 _ => return None,
             };
--- a/src/fleet/windows_tests.rs
+++ b/src/fleet/windows_tests.rs
@@ -135,16 +135,16 @@
     let start = plan(&mut later, &ask("x", "w1", at(20), at(60)), &limits(1), &Profile::default());
     assert_eq!((start, tick(&mut later, at(10) - 1, "")), (Ok(at(20)), Planned));
     for (now, state, site) in [
-        (T0, Draining, Some(site::Window::Draining)),
+        (T0, Draining, Some(site::Window::Draining { left_ms: 10 * MIN })),
         // The next leader's clock is an hour behind.
-        (T0 - HOUR, Draining, Some(site::Window::Draining)),
-        (at(9), Draining, Some(site::Window::Draining)),
+        (T0 - HOUR, Draining, Some(site::Window::Draining { left_ms: 10 * MIN })),
+        (at(9), Draining, Some(site::Window::Draining { left_ms: MIN })),
         (at(10), Active, Some(site::Window::Out)),
         (at(40) - 1, Active, Some(site::Window::Out)),
         (at(40), Ended, None),
         (at(99), Ended, None),
     ] {
-        assert_eq!((tick(&mut calendar, now, ""), calendar.sites().get("w1").copied()), (state, site));
+        assert_eq!((tick(&mut calendar, now, ""), calendar.sites(now).get("w1").copied()), (state, site));
         let text = serde_json::to_string(&calendar).expect("a serial form");
         calendar = serde_json::from_str(&text).expect("the same again");
     }
@@ -171,7 +171,7 @@
     assert_eq!(tick(&mut calendar, T0, "e1"), Held);
     assert_eq!(calendar.get("x").and_then(|x| x.why.clone()), Some(Refusal::Away("e1".to_owned())));
     assert_eq!(tick(&mut calendar, at(1), "e1"), Held);
-    assert_eq!((tick(&mut calendar, at(12), ""), calendar.sites().len()), (Draining, 1));
+    assert_eq!((tick(&mut calendar, at(12), ""), calendar.sites(at(12)).len()), (Draining, 1));
     let resumed = calendar.get("x").expect("kept").steps - 1;
     assert_eq!(tick(&mut calendar, at(13), "e1"), Held);
     // The step of the first return, arriving again.
