Plan: two servers that fit are drawn without gathering all that do

Need: under a plan each draw gathered the fitting servers of a site, linear in its list. Change: where no cold server has a budget, two of the draws that fit are taken at once, any two as likely as before; only where they don't, or some are cold, the pool is gathered, and drawn from by what is left of the draws.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -534,13 +534,18 @@
         (kept as usize).clamp(SUBSET, self.ready.len().max(SUBSET))
     }
 
+    /// Where this sidecar's part of a list begins.
+    pub(crate) fn own_start(&self, of: &[ServerId]) -> usize {
+        of.len() * self.settings.number as usize / self.settings.instances.max(1) as usize
+    }
+
     /// Two distinct random servers that fit, of this many from the own part of the list on. When a few draws
     /// don't find them, the search goes through all, from a random place on.
     pub(crate) fn pair(
         &self, of: &[ServerId], part: usize, draws: [usize; DRAWS], fits: impl Fn(&Server) -> bool,
     ) -> Vec<ServerId> {
         let (mut pair, part) = (Vec::new(), part.min(of.len()));
-        let own = of.len() * self.settings.number as usize / self.settings.instances.max(1) as usize;
+        let own = self.own_start(of);
         let search = (0..part).map(|step| draws[0].wrapping_add(step));
         let search = draws.into_iter().filter(|_| part > 0).chain(search);
         let mut search = search.map(|at| of[(own + at % part) % of.len()]);
@@ -573,7 +578,7 @@
     }
 
     /// The share of its capacity that a server has this long after its start, at least.
-    fn warmth_from(&self, started: f64) -> f64 {
+    pub(crate) fn warmth_from(&self, started: f64) -> f64 {
         let cold = &self.settings.slow_start;
         let age = (self.now - started).max(0.0) / ms(cold.ramp_time).max(1.0);
         (cold.cold_from + (1.0 - cold.cold_from) * age).clamp(0.01, 1.0)
--- a/src/route.rs
+++ b/src/route.rs
@@ -39,9 +39,17 @@
     ) -> Vec<ServerId> {
         let order = self.order(plan, id, group);
         let request = &self.requests[&id];
+        let all_warm =
+            plan.cold_share().is_none() || self.cold.iter().all(|&(_, at)| self.warmth_from(at) >= 1.0);
         let pick = |of: &[ServerId], chance: f64| {
+            // Most of the servers fit at most times. Then two are soon drawn, and what fits need not be gathered.
+            if all_warm && let Some(pair) = self.first_two(request, group, of, draws) {
+                return pair.to_vec();
+            }
             let pool = self.pool(plan, request, group, of, chance);
-            self.pair(&pool, usize::MAX, draws, |_| true)
+            // What is left of a draw: by what it was used for it has failed, and is not by chance any more.
+            let part = self.subset().clamp(1, of.len().max(1));
+            self.pair(&pool, usize::MAX, draws.map(|draw| draw / part), |_| true)
         };
         let mut found: Vec<ServerId> = Vec::new();
         for (zone, chance) in &order {
@@ -64,6 +72,20 @@
         found
     }
 
+    /// The first two of the draws from the subset of these that the request may go to, if two are drawn: as likely
+    /// any two as if they were drawn from those alone.
+    fn first_two(
+        &self, request: &Request, group: Option<u16>, of: &[ServerId], draws: [usize; DRAWS],
+    ) -> Option<[ServerId; 2]> {
+        let repeat = self.settings.classes[request.job.class].repeat;
+        let (own, part) = (self.own_start(of), self.subset().min(of.len()));
+        let drawn = draws.into_iter().filter(|_| part > 0).map(|draw| of[(own + draw % part) % of.len()]);
+        let fits = |s: &Server| self.may_by(request, group, s) && self.is_healthy(repeat, s);
+        let mut fitting = drawn.filter(|id| self.servers.get(id).is_some_and(fits));
+        let first = fitting.next()?;
+        Some([first, fitting.find(|id| *id != first)?])
+    }
+
     fn may_by(&self, request: &Request, group: Option<u16>, server: &Server) -> bool {
         self.may(request, group, server) && self.is_let(request, group, server.line.zone)
     }
@@ -124,7 +146,7 @@
             let warmth = self.warmth(s);
             plan.cold_share().filter(|_| warmth < 1.0).map(|share| share * s.line.weight.max(1.0) * warmth)
         };
-        let own = of.len() * self.settings.number as usize / self.settings.instances.max(1) as usize;
+        let own = self.own_start(of);
         let in_turn = (0..of.len()).map(|step| &self.servers[&of[(own + step) % of.len()]]);
         let (mut pool, mut cold, part) = (Vec::new(), Vec::new(), self.subset());
         for server in in_turn.clone().take(part).filter(|s| fits(s)) {
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -327,3 +327,45 @@
         assert!(share_of_b < 0.1 || part > 0.25, "and where they are drawn they are used: {part}");
     }
 }
+
+/// What a request and its answer cost, by the plan: `cargo test --release --test route -- --ignored --nocapture`.
+#[test]
+#[ignore = "a measurement, to be run in release"]
+fn what_a_request_costs_with_and_without_a_plan() {
+    const REQUESTS: u32 = 200_000;
+    let shares = shared(&[("a", 0.9), ("b", 0.06), ("c", 0.04)]);
+    let bounded = Plan { cold_share: Some(0.01), ..shares.clone() };
+    for (name, plan, cold) in [
+        ("no plan", None, 0),
+        ("plan", Some(&shares), 0),
+        ("bounded", Some(&bounded), 0),
+        ("cold", Some(&bounded), 5),
+    ] {
+        let started = |n: u64| (n < cold).then(|| ms(590_000));
+        let line = |n: u64| Listed { zone: (n % 3) as u16, started: started(n), ..line(n) };
+        let mut balancer = Balancer::new(settings(vec![class(Repeat::Safe)]), 1);
+        let mut out = Vec::new();
+        balancer.handle(ms(0), Event::List(ListNews::Cached((0..200).map(line).collect())), &mut out);
+        balancer.handle(ms(0), plan.map_or(Event::Plan(None), told), &mut out);
+        let (mut spent, mut sends) = (std::time::Duration::ZERO, 0);
+        for id in 0..REQUESTS {
+            // 600 s on, so that it is warm itself; twenty requests a ms, each answered at once.
+            let (now, id) = (ms(600_000) + ms(u64::from(id) / 20), RequestId(id));
+            let (cost, patience, origin) = (None, ms(1_200), Origin::Fresh);
+            let begun = std::time::Instant::now();
+            let arrival = Arrival { id, class: 0, cost, patience, origin, tenant: None };
+            balancer.handle(now, Event::Request(arrival), &mut out);
+            sends += u32::from(sent(&out).is_some());
+            let (outcome, progress) = (Outcome::Ok, Progress::Ended);
+            balancer.handle(
+                now,
+                Event::Outcome { id, attempt: 0, outcome, took: ms(20), progress },
+                &mut out,
+            );
+            spent += begun.elapsed();
+            out.clear();
+        }
+        assert_eq!(sends, REQUESTS);
+        println!("{name}: {} ns", spent.as_nanos() / u128::from(REQUESTS));
+    }
+}
