--- a/src/bin/listd/main.rs
+++ b/src/bin/listd/main.rs
@@ -30,6 +30,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Semaphore;
+use tokio::time::sleep;
 use tracing_subscriber::EnvFilter;
 
 /// How often lapsed leases are looked for: a tenth of the shortest grace that makes sense.
@@ -39,6 +40,8 @@
 const QUIET: &str = "warn,listd=info";
 /// A caller that has not sent a whole head by then is none.
 const HEAD_PATIENCE: Duration = Duration::from_secs(5);
+/// The pause after a connection that could not be taken: a failure that lasts is met ten times a second.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
 fn main() -> ExitCode {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(QUIET));
@@ -108,10 +111,23 @@
 async fn accept(
     listener: TcpListener, node: Arc<Node>, places: usize,
 ) -> Result<(), Box<dyn std::error::Error>> {
-    let places = Arc::new(Semaphore::new(places));
+    let (places, mut failing) = (Arc::new(Semaphore::new(places)), false);
     loop {
         let place = places.clone().acquire_owned().await?;
-        let (stream, _) = listener.accept().await?;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => {
+                failing = false;
+                stream
+            }
+            // Guards against ending where descriptors are short for a while or a caller breaks off.
+            Err(error) => {
+                if !std::mem::replace(&mut failing, true) {
+                    tracing::warn!(%error, "no connection is taken");
+                }
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
         let node = node.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| {
