listd: places for the other instances' calls that a crowd of clients can't take

Need: every connection took one of the same places before it was accepted, so that clients' watches could keep out raft's heartbeats and a planner's pulls, which cost an election where a connection had to be made anew. Change: a connection takes one of the clients' places with its first call that is no other instance's; 32 of all places (half at most) are not theirs, and a client beyond is answered 503 and closed, where it waited unseen before. Tested: tests/listd.rs, two watches that take all clients' places: 503, raft's call is read, and clients are served again once they are gone.

--- a/src/bin/listd/config.rs
+++ b/src/bin/listd/config.rs
@@ -43,7 +43,7 @@
     pub grace_ms: u64,
     /// The most entries, tombstones included: 300 sidecars and 200 upstreams many times over.
     pub max_entries: usize,
-    /// Connections served at once; more wait in the kernel's queue.
+    /// Connections served at once, those that are kept for the other instances included; a client beyond is refused.
     pub max_connections: usize,
     /// This instance's id among `peers`.
     pub id: u64,
--- a/src/bin/listd/http.rs
+++ b/src/bin/listd/http.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONNECTION, CONTENT_TYPE};
 use hyper::{Method, Request, Response, StatusCode};
 use micapier::fleet::duty::DutyError;
 use micapier::fleet::window::Refusal;
@@ -213,6 +213,13 @@
     plain(status, &error.to_string())
 }
 
+/// The answer to a client for whom there is no place: it may find one at another instance.
+pub fn no_place() -> Response<Full<Bytes>> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "no place for another connection");
+    response.headers_mut().insert(CONNECTION, hyper::header::HeaderValue::from_static("close"));
+    response
+}
+
 pub fn plain(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(text.to_owned())));
     *response.status_mut() = status;
--- a/src/bin/listd/main.rs
+++ b/src/bin/listd/main.rs
@@ -11,6 +11,7 @@
 mod metrics;
 mod node;
 mod peers;
+mod places;
 mod planner;
 mod replica;
 mod store;
@@ -20,16 +21,18 @@
 use clap::Parser;
 use config::{Args, Config};
 use duty::DutyKeeper;
+use hyper::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use node::Node;
+use places::Places;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::Semaphore;
 use tokio::time::sleep;
 use tracing_subscriber::EnvFilter;
 
@@ -111,9 +114,9 @@
 async fn accept(
     listener: TcpListener, node: Arc<Node>, places: usize,
 ) -> Result<(), Box<dyn std::error::Error>> {
-    let (places, mut failing) = (Arc::new(Semaphore::new(places)), false);
+    let (places, mut failing) = (Places::new(places), false);
     loop {
-        let place = places.clone().acquire_owned().await?;
+        let place = Arc::new(places.next().await?);
         let stream = match listener.accept().await {
             Ok((stream, _)) => {
                 failing = false;
@@ -130,15 +133,18 @@
         };
         let node = node.clone();
         tokio::spawn(async move {
-            let service = service_fn(move |request| {
-                let node = node.clone();
-                async move { Ok::<_, std::convert::Infallible>(http::serve(node, request).await) }
+            let service = service_fn(move |request: Request<Incoming>| {
+                let (node, place) = (node.clone(), place.clone());
+                async move {
+                    let admitted = place.admits(request.method(), request.uri().path());
+                    let answer = if admitted { http::serve(node, request).await } else { http::no_place() };
+                    Ok::<_, std::convert::Infallible>(answer)
+                }
             });
             let mut http = http1::Builder::new();
             http.timer(TokioTimer::new()).header_read_timeout(HEAD_PATIENCE);
             // A caller that breaks off is no failure of the service.
             let _ = http.serve_connection(TokioIo::new(stream), service).await;
-            drop(place);
         });
     }
 }
--- a/tests/listd.rs
+++ b/tests/listd.rs
@@ -80,3 +80,30 @@
     drop(listd);
     let _ = std::fs::remove_dir_all(&dir);
 }
+
+#[test]
+fn a_crowd_of_clients_is_refused_and_leaves_places_for_the_other_instances() {
+    let dir = std::env::temp_dir().join(format!("listd-crowd-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("a folder");
+    let config = dir.join("listd.toml");
+    std::fs::write(&config, "max_connections = 4\n").expect("a configuration");
+    let listd = Listd::start(&dir.join("store.redb"), &config, &[]);
+    listd.until("no leader", Listd::serves);
+    // Half are kept: two clients that watch take all that is theirs.
+    let watches = [(); 2].map(|()| {
+        let mut watch = TcpStream::connect(listd.addr).expect("accepted");
+        let call = b"GET /registry/instances?index=0&wait=60000 HTTP/1.1\r\nHost: listd\r\n\r\n";
+        watch.write_all(call).expect("sent");
+        watch
+    });
+    let status = |method, path| listd.try_call(method, path, "no call").map(|answer| answer.0);
+    listd.until("no crowd", |_| status("GET", "/registry/instances") == Some(503));
+    for _ in 0..20 {
+        assert_eq!(status("GET", "/registry/instances"), Some(503));
+        assert_eq!(status("POST", "/raft/append"), Some(400), "read, if no call of raft");
+    }
+    drop(watches);
+    listd.until("no place again", Listd::serves);
+    drop(listd);
+    std::fs::remove_dir_all(&dir).expect("removed");
+}
