--- a/src/route.rs
+++ b/src/route.rs
@@ -42,7 +42,7 @@
         let all_warm =
             plan.cold_share().is_none() || self.cold.iter().all(|&(_, at)| self.warmth_from(at) >= 1.0);
         let pick = |of: &[ServerId], chance: f64| {
-            // Most of the servers fit at most times. Then two are soon drawn, and what fits need not be gathered.
+            // Mostly nearly all servers fit. Then two are soon drawn, and the pool need not be gathered.
             if all_warm && let Some(pair) = self.first_two(request, group, of, draws) {
                 return pair.to_vec();
             }
@@ -72,8 +72,8 @@
         found
     }
 
-    /// The first two of the draws from the subset of these that the request may go to, if two are drawn: as likely
-    /// any two as if they were drawn from those alone.
+    /// The first two of the draws from the subset of these that the request may go to, if two are drawn:
+    /// any two as likely as if they were drawn from those alone.
     fn first_two(
         &self, request: &Request, group: Option<u16>, of: &[ServerId], draws: [usize; DRAWS],
     ) -> Option<[ServerId; 2]> {
