--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -78,22 +78,7 @@
     pub fn call_within(
         &self, method: &str, path: &str, body: &str, patience: Duration,
     ) -> Option<(u16, String, Option<String>)> {
-        let mut stream = TcpStream::connect(self.addr).ok()?;
-        stream.set_read_timeout(Some(patience)).ok()?;
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: listd\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
-            body.len()
-        );
-        stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body.as_bytes())).ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).ok()?;
-        let status = answer.get(9..12).and_then(|code| code.parse().ok())?;
-        let (head, body) = answer.split_once("\r\n\r\n")?;
-        let leader = head.lines().find_map(|line| {
-            let (name, value) = line.split_once(':')?;
-            name.eq_ignore_ascii_case("x-leader").then(|| value.trim().to_owned())
-        });
-        Some((status, body.to_owned(), leader))
+        call_at(self.addr, method, path, body, patience)
     }
 
     pub fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
@@ -137,6 +122,29 @@
     }
 }
 
+/// A call to an instance or a proxy before it, whose answer must come within `patience`; `None` where it failed or came
+/// late.
+pub fn call_at(
+    addr: SocketAddr, method: &str, path: &str, body: &str, patience: Duration,
+) -> Option<(u16, String, Option<String>)> {
+    let mut stream = TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(patience)).ok()?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: listd\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body.as_bytes())).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    let status = answer.get(9..12).and_then(|code| code.parse().ok())?;
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    let leader = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(':')?;
+        name.eq_ignore_ascii_case("x-leader").then(|| value.trim().to_owned())
+    });
+    Some((status, body.to_owned(), leader))
+}
+
 /// What a proxy does to what it carries; the test changes it at any time.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -160,6 +168,8 @@
     /// Both sides of each connection, to end them from outside their threads.
     streams: Mutex<Vec<(TcpStream, TcpStream)>>,
     requests: AtomicUsize,
+    /// What was carried, both ways.
+    bytes: AtomicUsize,
     /// The text awaited in answers, with its number, and the moments of its first sight on each connection.
     awaited: Mutex<(Vec<u8>, usize, Vec<Instant>)>,
 }
@@ -176,6 +186,7 @@
             delay_ms: AtomicU64::new(0),
             streams: Mutex::new(Vec::new()),
             requests: AtomicUsize::new(0),
+            bytes: AtomicUsize::new(0),
             awaited: Mutex::new((Vec::new(), 0, Vec::new())),
         });
         let carried = shared.clone();
@@ -236,6 +247,11 @@
         self.shared.requests.load(Ordering::SeqCst)
     }
 
+    /// The bytes that passed so far, both ways.
+    pub fn bytes(&self) -> usize {
+        self.shared.bytes.load(Ordering::SeqCst)
+    }
+
     /// From now on, notes the first answer on each connection that carries `text`.
     pub fn await_text(&self, text: &str) {
         let mut awaited = self.shared.awaited.lock().expect("not poisoned");
@@ -276,6 +292,7 @@
             if to.write_all(&buffer[..read]).is_err() {
                 break;
             }
+            carried.bytes.fetch_add(read, Ordering::SeqCst);
             let old = window.len();
             window.extend_from_slice(&buffer[..read]);
             if way == Way::Ask {
