--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -4,11 +4,12 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::Value;
+use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -78,22 +79,7 @@
     pub fn call_within(
         &self, method: &str, path: &str, body: &str, patience: Duration,
     ) -> Option<(u16, String, Option<String>)> {
-        let mut stream = TcpStream::connect(self.addr).ok()?;
-        stream.set_read_timeout(Some(patience)).ok()?;
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nHost: listd\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
-            body.len()
-        );
-        stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body.as_bytes())).ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).ok()?;
-        let status = answer.get(9..12).and_then(|code| code.parse().ok())?;
-        let (head, body) = answer.split_once("\r\n\r\n")?;
-        let leader = head.lines().find_map(|line| {
-            let (name, value) = line.split_once(':')?;
-            name.eq_ignore_ascii_case("x-leader").then(|| value.trim().to_owned())
-        });
-        Some((status, body.to_owned(), leader))
+        call_at(self.addr, method, path, body, patience)
     }
 
     pub fn call(&self, method: &str, path: &str, body: &str) -> (u16, String) {
@@ -137,6 +123,29 @@
     }
 }
 
+/// A call to an instance or a proxy before it, whose answer must come within `patience`; `None` where it failed or came
+/// late.
+pub fn call_at(
+    addr: SocketAddr, method: &str, path: &str, body: &str, patience: Duration,
+) -> Option<(u16, String, Option<String>)> {
+    let mut stream = TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(patience)).ok()?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: listd\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body.as_bytes())).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    let status = answer.get(9..12).and_then(|code| code.parse().ok())?;
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    let leader = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(':')?;
+        name.eq_ignore_ascii_case("x-leader").then(|| value.trim().to_owned())
+    });
+    Some((status, body.to_owned(), leader))
+}
+
 /// What a proxy does to what it carries; the test changes it at any time.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -157,9 +166,11 @@
 struct Carried {
     fault: Mutex<Fault>,
     delay_ms: AtomicU64,
-    /// Both sides of each connection, to end them from outside their threads.
-    streams: Mutex<Vec<(TcpStream, TcpStream)>>,
+    /// Both sides of each connection by its number, to end them from outside their threads.
+    streams: Mutex<HashMap<usize, (TcpStream, TcpStream)>>,
     requests: AtomicUsize,
+    /// What was carried, both ways.
+    bytes: AtomicUsize,
     /// The text awaited in answers, with its number, and the moments of its first sight on each connection.
     awaited: Mutex<(Vec<u8>, usize, Vec<Instant>)>,
 }
@@ -174,14 +185,15 @@
         let shared = Arc::new(Carried {
             fault: Mutex::new(Fault::Pass),
             delay_ms: AtomicU64::new(0),
-            streams: Mutex::new(Vec::new()),
+            streams: Mutex::default(),
             requests: AtomicUsize::new(0),
+            bytes: AtomicUsize::new(0),
             awaited: Mutex::new((Vec::new(), 0, Vec::new())),
         });
         let carried = shared.clone();
         // The thread ends with the test's process.
         thread::spawn(move || {
-            for client in listener.incoming().flatten() {
+            for (number, client) in listener.incoming().flatten().enumerate() {
                 let fault = *carried.fault.lock().expect("not poisoned");
                 let upstream = match TcpStream::connect(to) {
                     Ok(upstream) if fault == Fault::Pass => upstream,
@@ -193,10 +205,11 @@
                     }
                 };
                 if let (Ok(c), Ok(u)) = (client.try_clone(), upstream.try_clone()) {
-                    carried.streams.lock().expect("not poisoned").push((c, u));
+                    carried.streams.lock().expect("not poisoned").insert(number, (c, u));
                 }
-                pipe(&client, &upstream, Way::Ask, &carried);
-                pipe(&upstream, &client, Way::Answer, &carried);
+                let last = Arc::new(AtomicBool::new(false));
+                pipe(&client, &upstream, Way::Ask, &carried, (number, last.clone()));
+                pipe(&upstream, &client, Way::Answer, &carried, (number, last));
             }
         });
         Proxy { addr, shared }
@@ -213,7 +226,7 @@
         if fault == Fault::Pass {
             return;
         }
-        for (client, upstream) in self.shared.streams.lock().expect("not poisoned").drain(..) {
+        for (_, (client, upstream)) in self.shared.streams.lock().expect("not poisoned").drain() {
             if fault == Fault::Reset {
                 // The last of its descriptors to close sends RST; reading ends wakes the threads that hold them.
                 let _ = socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO));
@@ -236,6 +249,11 @@
         self.shared.requests.load(Ordering::SeqCst)
     }
 
+    /// The bytes that passed so far, both ways.
+    pub fn bytes(&self) -> usize {
+        self.shared.bytes.load(Ordering::SeqCst)
+    }
+
     /// From now on, notes the first answer on each connection that carries `text`.
     pub fn await_text(&self, text: &str) {
         let mut awaited = self.shared.awaited.lock().expect("not poisoned");
@@ -262,7 +280,11 @@
     window.windows(needle.len()).enumerate().filter(|(at, w)| at + needle.len() > old && *w == needle).count()
 }
 
-fn pipe(from: &TcpStream, to: &TcpStream, way: Way, carried: &Arc<Carried>) {
+/// Carries one way of the connection of a number; the way that ends last lets its descriptors go.
+fn pipe(
+    from: &TcpStream, to: &TcpStream, way: Way, carried: &Arc<Carried>,
+    (number, last): (usize, Arc<AtomicBool>),
+) {
     let (Ok(mut from), Ok(mut to), carried) = (from.try_clone(), to.try_clone(), carried.clone()) else {
         return;
     };
@@ -276,6 +298,7 @@
             if to.write_all(&buffer[..read]).is_err() {
                 break;
             }
+            carried.bytes.fetch_add(read, Ordering::SeqCst);
             let old = window.len();
             window.extend_from_slice(&buffer[..read]);
             if way == Way::Ask {
@@ -295,6 +318,9 @@
         if *carried.fault.lock().expect("not poisoned") != Fault::Reset {
             let _ = to.shutdown(Shutdown::Write);
         }
+        if last.swap(true, Ordering::SeqCst) {
+            carried.streams.lock().expect("not poisoned").remove(&number);
+        }
     });
 }
 
