--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -125,7 +125,6 @@
     })
 }
 
-pub static TRIAL: std::sync::OnceLock<String> = std::sync::OnceLock::new();
 impl Fleet {
     /// Starts all of it: the list service knows every server, each sidecar is ready.
     pub fn start(name: &str, size: Size) -> Fleet {
@@ -152,10 +151,6 @@
         fleet
     }
 
-    pub fn trial(name: &str, size: Size, stub: &str) -> Fleet {
-        TRIAL.set(stub.to_owned()).unwrap();
-        Fleet::start(name, size)
-    }
     /// The site that a sidecar is in.
     pub fn site_of(&self, sidecar: usize) -> usize {
         sidecar % SITES.len()
