Fleet: one sidecar's claim of demand counts up to 16 times the middle one's

A report could claim any work in any time, down to a span of 1 ms, and the planner would have refused other sidecars' clients for it. Where at least five sidecars ask for something, one counts up to 16 times what the middle one asks, far above the unevenness of sites (some get several times the mean), and a span under 250 ms counts as that. Unit test: a claim of a million requests a second beside four of ten counts as 160.

--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -19,6 +19,13 @@
 /// would refuse what there is room for.
 const CHANCE: f64 = 3.0;
 
+/// What one sidecar asks for counts up to so many times what the middle one of those that ask does, where there are
+/// enough of them to tell: some have several times the others' traffic, and one that lies must not crowd out the rest.
+const MOST_OF_MEDIAN: f64 = 16.0;
+const ENOUGH: usize = 5;
+/// Counts of a shorter time than that between two early reports tell no rate.
+const LEAST_SPAN_MS: u64 = 250;
+
 /// A value and its mean over the last seconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 struct Followed {
@@ -66,8 +73,10 @@
         self.last_ms = Some(now_ms);
         let mut asked: BTreeMap<(&str, &str, &str), f64> = BTreeMap::new();
         let mut sites: BTreeMap<&str, Sum> = BTreeMap::new();
-        for report in reports {
-            let a_second = 1e3 / report.span_ms as f64;
+        let reports: Vec<(&Report, f64)> = reports.map(|report| (report, work(report))).collect();
+        let most = most(reports.iter().map(|(_, work)| *work).collect());
+        for (report, work) in reports {
+            let a_second = a_second(report) * (most / work.max(NOTHING)).min(1.0);
             for line in &report.demand {
                 let named = config.tenants.contains_key(&line.tenant);
                 let tenant = if named { line.tenant.as_str() } else { ANY };
@@ -126,6 +135,23 @@
     }
 }
 
+/// What a report's counts are to be taken times for what they are in a second.
+fn a_second(report: &Report) -> f64 {
+    1e3 / report.span_ms.max(LEAST_SPAN_MS) as f64
+}
+
+/// What a sidecar asks for in all, in ms of work a second.
+fn work(report: &Report) -> f64 {
+    report.demand.iter().map(|line| line.work_ms).sum::<f64>() * a_second(report)
+}
+
+/// The most that one sidecar's demand counts, by what each asks for.
+fn most(mut works: Vec<f64>) -> f64 {
+    works.retain(|work| *work > NOTHING);
+    works.sort_by(f64::total_cmp);
+    if works.len() < ENOUGH { f64::INFINITY } else { works[works.len() / 2] * MOST_OF_MEDIAN }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -169,5 +195,8 @@
         assert!((burst - 3_000.0).abs() < 1.0, "{burst}");
         assert!(tell(&mut demand, &[]) > 2_500.0, "one missed look is no fall");
         assert!((0..40).map(|_| tell(&mut demand, &[])).last().is_some_and(|left| left < 50.0));
+        // One that claims a million requests a second counts as 16 of the others.
+        let lied = tell(&mut demand, &[10, 10, 10, 10, 1_000_000]);
+        assert!((lied - 2_000.0).abs() < 1.0, "{lied}");
     }
 }
