--- a/tests/site_figures.rs
+++ b/tests/site_figures.rs
@@ -260,9 +260,9 @@
         let load = Load::start(&fleet, rate(12), MOST, |n| Ask::usual(n, COST_MS / 2.0));
         fleet.until_followed(fleet.until_state(PRAHA, &[SiteState::Serving]));
         fleet.stand.delay(PRAHA, TENANTS[0].0, Duration::from_millis(TARGET_MS));
-        for at in [15, 30, 45] {
+        for at in [5, 10, 15, 20, 25, 30] {
             let mark = load.mark();
-            thread::sleep(secs(15));
+            thread::sleep(secs(5));
             let done = load.since(mark);
             let within = |tenant: usize| {
                 let of: Vec<&Done> = done.iter().filter(|d| d.ask.tenant == tenant).collect();
