--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -36,13 +36,16 @@
 impl Day {
     fn new(seed: u64, discovery: Discovery, probes: bool) -> Day {
         let keyed = Repeat::Keyed { group: Group::Cell, window: ms(WINDOW) };
-        let mut settings = settings(vec![class(Repeat::Safe), class(keyed), class(Repeat::Unsafe)]);
-        settings.discovery = discovery;
-        settings.cross_zone_price = 0.05;
-        settings.probes = if probes { Permit::Granted } else { Permit::Denied };
+        let (permit, servers) = if probes { (Permit::Granted, 70) } else { (Permit::Denied, 7) };
+        let settings = settings([Repeat::Safe, keyed, Repeat::Unsafe].map(class).to_vec());
+        let settings = Settings { discovery, cross_zone_price: 0.05, probes: permit, ..settings };
         let rig = Rig::seeded(settings, vec![], seed);
-        let (requests, states, servers) = (BTreeMap::new(), BTreeMap::new(), if probes { 70 } else { 7 });
-        Day { rig, requests, states, probes: vec![], servers }
+        Day { rig, requests: BTreeMap::new(), states: BTreeMap::new(), probes: vec![], servers }
+    }
+
+    fn tell(&mut self, event: Event) {
+        let said = self.rig.tell(event);
+        self.check(said);
     }
 
     fn check(&mut self, said: Vec<Action>) {
@@ -54,8 +57,7 @@
                     let request = self.requests.get_mut(&id).expect("known");
                     assert_eq!(request.answers, 0, "nothing after the final answer");
                     assert!(request.attempts.len() < 3, "within the attempts allowed");
-                    let out = request.attempts.iter().any(|a| a.2.is_none());
-                    assert!(!out, "one attempt at a time");
+                    assert!(request.attempts.iter().all(|a| a.2.is_some()), "one attempt at a time");
                     let ran = request.attempts.iter().find(|a| a.2 != Some(true));
                     match (request.class, ran) {
                         (1, Some(first)) => {
@@ -88,16 +90,15 @@
         for _ in 0..time / 5 {
             let said = self.rig.wait(5);
             self.check(said);
-            self.expire();
+            // Attempts time out with their clients.
+            self.out(self.rig.now).into_iter().for_each(|id| self.end(id, Outcome::Timeout));
         }
     }
 
-    /// Attempts time out with their clients.
-    fn expire(&mut self) {
-        let now = self.rig.now;
-        let late = |r: &Tracked| r.attempts.iter().any(|a| a.2.is_none()) && r.due <= now;
-        let ids: Vec<RequestId> = self.requests.iter().filter(|(_, r)| late(r)).map(|(id, _)| *id).collect();
-        ids.into_iter().for_each(|id| self.end(id, Outcome::Timeout));
+    /// The requests with an attempt out whose clients' time is over by then.
+    fn out(&self, by: u64) -> Vec<RequestId> {
+        let out = |r: &Tracked| r.attempts.iter().any(|a| a.2.is_none()) && r.due <= by;
+        self.requests.iter().filter(|(_, r)| out(r)).map(|(id, _)| *id).collect()
     }
 
     fn end(&mut self, id: RequestId, outcome: Outcome) {
@@ -110,9 +111,7 @@
             request.answers += usize::from(first);
             let progress = if request.answers > 0 { Progress::Ended } else { Progress::Owed };
             let took = ms(now - request.attempts[no].1);
-            let event = Event::Outcome { id, attempt: no, outcome, took, progress };
-            let said = self.rig.tell(event);
-            self.check(said);
+            self.tell(Event::Outcome { id, attempt: no, outcome, took, progress });
             if outcome != Outcome::Timeout {
                 return;
             }
@@ -131,9 +130,7 @@
                 self.check(said);
             }
             5..=7 => {
-                let out = |r: &Tracked| r.attempts.iter().any(|a| a.2.is_none());
-                let ids: Vec<RequestId> =
-                    self.requests.iter().filter(|(_, r)| out(r)).map(|(id, _)| *id).collect();
+                let ids = self.out(u64::MAX);
                 if !ids.is_empty() {
                     let outcomes = [Outcome::Ok, Outcome::Ok, Outcome::Error, Outcome::Full];
                     let more = [Outcome::ConnectFailed, Outcome::Reset, Outcome::Cancelled, Outcome::Moot];
@@ -152,19 +149,14 @@
                 let started = x.is_multiple_of(5).then(|| ms(self.rig.now));
                 let base = line(server);
                 let line = Listed { availability, cell: cell(server), zone: cell(server), started, ..base };
-                let said = self.rig.tell(Event::List(ListNews::Delta(vec![line])));
-                self.check(said);
-            }
-            9 => {
-                let said = self.rig.tell(Event::List(ListNews::Failed));
-                self.check(said);
+                self.tell(Event::List(ListNews::Delta(vec![line])));
             }
+            9 => self.tell(Event::List(ListNews::Failed)),
             10 if !self.probes.is_empty() => {
                 for server in std::mem::take(&mut self.probes) {
-                    let outcome =
-                        [Outcome::Ok, Outcome::Ok, Outcome::Full, Outcome::Timeout][(x % 4) as usize];
-                    let said = self.rig.tell(Event::Probed { server, outcome, held: Some((x % 5) as f64) });
-                    self.check(said);
+                    let outcomes = [Outcome::Ok, Outcome::Ok, Outcome::Full, Outcome::Timeout];
+                    let outcome = outcomes[(x % 4) as usize];
+                    self.tell(Event::Probed { server, outcome, held: Some((x % 5) as f64) });
                 }
             }
             _ => self.wait(5 + x % (60 * self.servers / 7)),
