--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -92,10 +92,15 @@
     replies(&output.stdout)
 }
 
+/// Brings one instance up with list 0, of so many servers from this offset on.
+fn declared(who: u32, settings: &str, offset: usize, count: u32) -> Vec<Vec<u8>> {
+    vec![up(who, settings), manifest(0, offset, count), discovery(who, 3, 0)]
+}
+
 /// Brings one instance up with one server.
 fn start(clock: f64, who: u32, last_byte: u8) -> Vec<u8> {
     let tail = [SETTINGS.as_bytes(), &entry(last_byte)].concat();
-    frame(clock, &[up(who, SETTINGS), manifest(0, SETTINGS.len(), 1), discovery(who, 3, 0)], &tail)
+    frame(clock, &declared(who, SETTINGS, SETTINGS.len(), 1), &tail)
 }
 
 fn rejected(input: &[u8], words: &str) {
@@ -133,16 +138,8 @@
     // Number 0 is declared twice in one batch; the two instances hold different lists.
     let tail = [SETTINGS.as_bytes(), &entry(1), &entry(2)].concat();
     let at = SETTINGS.len();
-    let records = [
-        up(0, SETTINGS),
-        manifest(0, at, 1),
-        discovery(0, 3, 0),
-        up(1, SETTINGS),
-        manifest(0, at + 24, 1),
-        discovery(1, 3, 0),
-        inbound(0, 5),
-        inbound(1, 6),
-    ];
+    let (first, second) = (declared(0, SETTINGS, at, 1), declared(1, SETTINGS, at + 24, 1));
+    let records = [first, second, vec![inbound(0, 5), inbound(1, 6)]].concat();
     let restart = [event(5, 0, &[]), up(0, SETTINGS), discovery(0, 3, 0), done(0, 5, 1, 1), inbound(0, 8)];
     let replies = replies_to(&[frame(1.0, &records, &tail), frame(9.0, &restart, SETTINGS.as_bytes())]);
     let to: Vec<u8> = sends(&replies[0]).iter().map(|r| r[12]).collect();
@@ -165,12 +162,11 @@
     rejected(&[1, 2, 3], "ends inside a frame");
     let whole = start(1.0, 0, 1);
     rejected(&whole[..whole.len() - 1], "ends inside a frame");
-    let mut huge = frame(1.0, &[], &[]);
-    huge[..4].copy_from_slice(&u32::MAX.to_le_bytes());
-    rejected(&huge, "ends inside a frame");
-    let mut many = frame(1.0, &[], &[]);
-    many[12..16].copy_from_slice(&u32::MAX.to_le_bytes());
-    rejected(&many, "cannot hold");
+    for (number, words) in [(0, "ends inside a frame"), (12, "cannot hold")] {
+        let mut huge = frame(1.0, &[], &[]);
+        huge[number..number + 4].copy_from_slice(&u32::MAX.to_le_bytes());
+        rejected(&huge, words);
+    }
     rejected(&frame(f64::NAN, &[], &[]), "clock");
     rejected(&frame(1.0, &[manifest(0, 4_000_000_000, 1)], &[]), "beyond");
     rejected(&frame(1.0, &[manifest(0, 0, u32::MAX)], &[]), "beyond");
@@ -203,8 +199,8 @@
 #[test]
 fn no_bytes_make_it_panic() {
     let mut rng = fastrand::Rng::with_seed(20);
-    let whole = [start(1.0, 0, 1), frame(6.0, &[inbound(0, 77)], &[]), frame(9.0, &[done(0, 77, 2, 0)], &[])];
-    let whole = whole.concat();
+    let asked = [frame(6.0, &[inbound(0, 77)], &[]), frame(9.0, &[done(0, 77, 2, 0)], &[])].concat();
+    let whole = [start(1.0, 0, 1), asked].concat();
     for _ in 0..300 {
         let mut bytes = whole.clone();
         for _ in 0..rng.usize(1..6) {
@@ -221,23 +217,16 @@
 fn a_probe_goes_out_and_its_report_decides() {
     let settings = format!("{SETTINGS}policyLimits.probes=true\nreport.fields=load_share,concurrent\n");
     let entries: Vec<u8> = (0..20).flat_map(entry).collect();
-    let at = settings.len();
     let tail = [settings.as_bytes(), &entries].concat();
-    let up = [up(0, &settings), manifest(0, at, 20), discovery(0, 3, 0), inbound(0, 5)];
-    let start = frame(1.0, &up, &tail);
+    let records = [declared(0, &settings, settings.len(), 20), vec![inbound(0, 5)]].concat();
+    let start = frame(1.0, &records, &tail);
     let first = replies_to(std::slice::from_ref(&start));
     let probes: Vec<Vec<u8>> = first[0].iter().filter(|r| r[0] == 5).map(|r| r[5..11].to_vec()).collect();
     assert_eq!(probes.len(), 2);
     // The second value of the report is the one that counts.
     let result = |server: &[u8], held: f32| {
-        let fields: [(usize, &[u8]); 5] = [
-            (5, server),
-            (11, &1u16.to_le_bytes()),
-            (21, &[2]),
-            (22, &0.5f32.to_le_bytes()),
-            (26, &held.to_le_bytes()),
-        ];
-        event(6, 0, &fields)
+        let report = [0.5f32, held].map(f32::to_le_bytes).concat();
+        event(6, 0, &[(5, server), (11, &1u16.to_le_bytes()), (21, &[2]), (22, &report)])
     };
     for (idle, held) in [(0, [0.0, 3.0]), (1, [3.0, 0.0])] {
         let results = [result(&probes[0], held[0]), result(&probes[1], held[1])];
