--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -55,8 +55,7 @@
 
 #[test]
 fn every_form_of_a_request_is_served() {
-    let upstream = Upstream::start(|seen| ok(&seen.body));
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (_upstream, sidecar) = answered(|seen| ok(&seen.body), |_| {});
     let long = text(100_000);
     let chunked = |body: &str, size: usize, extension: &str, trailers: &str| {
         let chunks = body.as_bytes().chunks(size).map(|chunk| std::str::from_utf8(chunk).expect("text"));
@@ -113,8 +112,7 @@
         ),
         ("long", of_length(&long), &long),
     ] {
-        let upstream = Upstream::start(move |_| Reply::Raw(raw.clone()));
-        let sidecar = Sidecar::start(&[&upstream]);
+        let (_upstream, sidecar) = answered(move |_| Reply::Raw(raw.clone()), |_| {});
         let answer = sidecar.ask(&call("pay", 10.0));
         assert_eq!((answer.status, answer.body.as_str()), (200, body), "{what}");
     }
@@ -196,8 +194,7 @@
 
 #[test]
 fn a_legal_slow_client_is_served_and_its_time_runs_from_its_last_byte() {
-    let upstream = Upstream::start(|seen| ok(&seen.body.len().to_string()));
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (_upstream, sidecar) = answered(|seen| ok(&seen.body.len().to_string()), |_| {});
     // Held, and longer than what is held; both take longer than their clients then wait for the answer.
     for length in [40_000, 100_000] {
         let request = call("pay", 0.5).body(&text(length)).text();
@@ -218,8 +215,7 @@
 
 #[test]
 fn small_pieces_with_pauses_are_served_also_on_a_kept_connection() {
-    let upstream = Upstream::start(|seen| ok(&seen.body));
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (_upstream, sidecar) = answered(|seen| ok(&seen.body), |_| {});
     let mut client = sidecar.connect();
     client.set_nodelay(true).expect("set");
     for _ in 0..2 {
@@ -263,8 +259,7 @@
         ["Content-Length: 300000\r\n\r\n".to_owned(), "Transfer-Encoding: chunked\r\n\r\n30d40\r\n".into()]
     {
         let raw = format!("HTTP/1.1 200 OK\r\n{framing}{long}");
-        let upstream = Upstream::start(move |_| Reply::Raw(raw.clone()));
-        let sidecar = Sidecar::with(&[&upstream], with_door);
+        let (_upstream, sidecar) = answered(move |_| Reply::Raw(raw.clone()), with_door);
         let said = all_of(send(&sidecar, &call("pay", 5.0).text()));
         assert!(said.starts_with("HTTP/1.1 200"), "{said:.20}");
         let whole = said.contains("content-length: 300000") || !said.ends_with("0\r\n\r\n");
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -23,9 +23,7 @@
     assert_eq!(old.ask(&call("pay", 5.0)).status, 200);
     let new = old.successor(&socket);
     old.terminate();
-    for _ in 0..200 {
-        assert_eq!(new.ask(&call("pay", 5.0)).status, 200);
-    }
+    new.serves(200, 5.0);
     assert_eq!(old.exit_code(), Some(0));
     // Who comes while no process listens waits in the queue that the platform holds.
     drop(new);
@@ -166,8 +164,7 @@
     assert_eq!((sidecar.figure("inflight"), sidecar.figure("backend_calls")), (1, 4));
     drop(waiting);
     sidecar.wait_until("its end", |sidecar| sidecar.figure("inflight") == 0);
-    sidecar.discovery.say(2, true, &[upstream.line("Terminating")]);
-    sidecar.discovery.wait_for_index(2);
+    sidecar.discovery.tell(2, true, &[upstream.line("Terminating")]);
     assert_eq!(sidecar.ask(&call("report", 5.0).header("Idempotency-Key", "k")).status, 503);
     for (name, count) in [
         ("calls.pay.success", 1),
@@ -236,9 +233,7 @@
     let id = out.line("Ready")["id"].as_str().expect("an id").to_owned();
     let serve = |count: usize| {
         let before = out.requests().len();
-        for _ in 0..count {
-            assert_eq!(sidecar.ask(&call("pay", 5.0)).status, 200);
-        }
+        sidecar.serves(count, 5.0);
         out.requests().len() - before
     };
     assert!(serve(20) > 0);
@@ -249,8 +244,7 @@
     assert_eq!((serve(20), sidecar.figure("hosts_listed"), sidecar.figure("hosts_down")), (0, 2, 1));
     // Whatever discovery says.
     for (revision, phase) in [(2, "Gone"), (3, "Ready")] {
-        sidecar.discovery.say(revision, false, &[out.line(phase)]);
-        sidecar.discovery.wait_for_index(revision);
+        sidecar.discovery.tell(revision, false, &[out.line(phase)]);
         assert_eq!(serve(10), 0, "{phase}");
     }
     assert_eq!(sidecar.operate(&format!("PUT /upstreams/enable?name={id}")).0, 200);
@@ -353,9 +347,7 @@
     let new = old.successor(&socket);
     let before = left.requests().len();
     drop(old);
-    for _ in 0..20 {
-        assert_eq!(new.ask(&call("pay", 5.0)).status, 200);
-    }
+    new.serves(20, 5.0);
     assert_eq!(left.requests().len(), before);
 }
 
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -67,11 +67,8 @@
     /// Waits until a report says that it goes by this plan, or by none; reports before are not looked at.
     fn wait_for(&self, mark: Option<PlanMark>) {
         let before = self.reports().len();
-        let start = Instant::now();
-        while !self.reports()[before..].iter().any(|report| report.plan.map(|(mark, _)| mark) == mark) {
-            assert!(start.elapsed() < Duration::from_secs(30), "waited in vain for {mark:?}");
-            std::thread::sleep(Duration::from_millis(5));
-        }
+        let goes_by = |report: &Report| report.plan.map(|(mark, _)| mark) == mark;
+        wait(&format!("{mark:?}"), || self.reports()[before..].iter().any(goes_by));
     }
 
     fn watches(&self) -> usize {
@@ -101,8 +98,7 @@
     let mut lines = vec![home.line("Ready")];
     lines.extend(away.iter().map(|upstream| upstream.line("Ready")));
     lines[1..].iter_mut().for_each(|line| line["locality"] = json!("b"));
-    sidecar.discovery.say(2, true, &lines);
-    sidecar.discovery.wait_for_index(2);
+    sidecar.discovery.tell(2, true, &lines);
     (home, away, sidecar)
 }
 
--- a/tests/site/stand.rs
+++ b/tests/site/stand.rs
@@ -127,9 +127,7 @@
         let got: f64 = self.recent.iter().map(|(_, cost)| cost).sum();
         let bound = FALL_MULTIPLE * warmth * CORES as f64 * FALL_WINDOW.as_millis() as f64;
         let cold_use = (warmth < 1.0).then_some(got / bound);
-        if cold_use.is_some_and(|used| used > 1.0) {
-            self.fell = true;
-        }
+        self.fell |= cold_use.is_some_and(|used| used > 1.0);
         while self.holds.front().is_some_and(|end| *end <= now) {
             self.holds.pop_front();
         }
@@ -278,14 +276,15 @@
     };
     let (from, tenant) = (header("x-test-site"), header("x-caller"));
     let cost_ms = header("x-call-cost").parse::<f64>().map_or(COST_MS, |us| us / 1e3);
-    let heard = |from: &str| match *shared.faults[site].borrow() {
+    let at_home = from == super::SITES[site].0;
+    let heard = || match *shared.faults[site].borrow() {
         SiteFault::Up => true,
-        SiteFault::CutFromOthers => from == super::SITES[site].0,
+        SiteFault::CutFromOthers => at_home,
         SiteFault::Silent | SiteFault::Loud => false,
     };
     let (class, id) = (header("x-call-class"), header("x-call-id"));
     let (mut done, mut cold_use, mut fell) = (Some(now), None, false);
-    if heard(&from) {
+    if heard() {
         let mut work = locked(&shared.servers[site][server]);
         let fallen = work.fell;
         (done, cold_use) = work.take(now, cost_ms, shared.ramp);
@@ -294,25 +293,19 @@
             *locked(&shared.falls) += 1;
         }
     }
-    let ran = done.is_some();
-    let tenant_key = tenant.clone();
-    locked(&shared.log).push(Begun {
-        at: now,
-        site,
-        server,
-        from: from.clone(),
-        tenant,
-        class,
-        id,
-        cost_ms,
-        ran,
-        cold_use,
-    });
+    let (at, ran) = (now, done.is_some());
+    let extra = {
+        let extra = locked(&shared.extra);
+        let of = |tenant: &str| extra.get(&(site, tenant.to_owned())).copied().unwrap_or_default();
+        of("") + of(&tenant)
+    };
+    let begun = Begun { at, site, server, from, tenant, class, id, cost_ms, ran, cold_use };
+    locked(&shared.log).push(begun);
     if fell || *shared.faults[site].borrow() == SiteFault::Loud {
         reset.notify_one();
         return pending().await;
     }
-    if !heard(&from) {
+    if !heard() {
         return pending().await;
     }
     let _ = request.into_body().collect().await;
@@ -320,13 +313,8 @@
         let response = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE).header("X-Rejected", "1");
         return Ok(response.body(Full::new(Bytes::new())).expect("an answer"));
     };
-    let extra = {
-        let extra = locked(&shared.extra);
-        let of = |tenant: &str| extra.get(&(site, tenant.to_owned())).copied().unwrap_or_default();
-        of("") + of(&tenant_key)
-    };
     sleep(done.saturating_duration_since(Instant::now()) + extra).await;
-    if !heard(&from) {
+    if !heard() {
         return pending().await;
     }
     Ok(Response::new(Full::new(Bytes::from_static(b"served"))))
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -60,24 +60,19 @@
             })
         });
         let sidecar = Sidecar::start(&[&both[0], &both[1]]);
-        for _ in 0..16 {
-            assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
-        }
+        sidecar.serves(16, 2.0);
         assert_eq!(asked.count(), 18, "one was sent twice");
     }
     // Nobody listens at the other's address; a connection refused costs nothing and proves that nothing ran.
     let (up, down) = (Upstream::start(|_| ok("served")), Upstream::start(|_| ok("")));
     down.stop();
     let sidecar = Sidecar::start(&[&up, &down]);
-    for _ in 0..6 {
-        assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
-    }
+    sidecar.serves(6, 2.0);
 }
 
 #[test]
 fn a_silent_upstream_is_given_up_in_time_and_its_connection_closed_at_once() {
-    let upstream = Upstream::start(|_| Reply::Silence);
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (upstream, sidecar) = answered(|_| Reply::Silence, |_| {});
     let start = Instant::now();
     let answer = sidecar.ask(&call("pay", 0.6));
     assert!(![200, 429, 503].contains(&answer.status), "{}", answer.status);
@@ -87,8 +82,7 @@
 
 #[test]
 fn a_client_that_leaves_ends_its_attempt() {
-    let upstream = Upstream::start(|_| Reply::Silence);
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (upstream, sidecar) = answered(|_| Reply::Silence, |_| {});
     let client = sidecar.send(&call("pay", 20.0));
     upstream.wait_for("the request", |state| state.requests.len() == 1);
     drop(client);
@@ -98,9 +92,7 @@
 #[test]
 fn connections_are_kept_but_not_those_that_saw_their_end() {
     let (upstream, sidecar) = served(|_| {});
-    for _ in 0..5 {
-        assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
-    }
+    sidecar.serves(5, 2.0);
     assert_eq!(upstream.state().accepted, 1, "one connection for all");
     upstream.close_idle();
     upstream.wait_for("the sidecar to see it", |state| state.closed_by_peer == 1);
@@ -142,8 +134,7 @@
 #[test]
 fn what_the_application_never_sent_reaches_no_upstream_and_harms_none() {
     // As upstreams do, this one answers with an error what it can't take for a request of the application.
-    let upstream = Upstream::start(|_| Reply::text(400, "", ""));
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (upstream, sidecar) = answered(|_| Reply::text(400, "", ""), |_| {});
     let padding = "p".repeat(20_000);
     let bad = [
         ("no id", call("pay", 5.0).without("X-Call-Id")),
@@ -202,8 +193,7 @@
         "HTTP/1.1 200 OK\r\nContent-Length: soon\r\n\r\n",
         "HTTP/1.1 999\r\n\r\n",
     ] {
-        let upstream = Upstream::start(move |_| Reply::Raw(raw.into()));
-        let sidecar = Sidecar::start(&[&upstream]);
+        let (_upstream, sidecar) = answered(move |_| Reply::Raw(raw.into()), |_| {});
         assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 502, "{raw}");
     }
 }
@@ -214,15 +204,12 @@
     let sidecar = Sidecar::start(&[&a, &b]);
     let served_by = |expected: &Upstream, other: &Upstream| {
         let before = other.requests().len();
-        for _ in 0..6 {
-            assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
-        }
+        sidecar.serves(6, 2.0);
         assert!(!expected.requests().is_empty());
         other.requests().len() == before
     };
     // A change: one drains.
-    sidecar.discovery.say(2, false, &[b.line("Terminating")]);
-    sidecar.discovery.wait_for_index(2);
+    sidecar.discovery.tell(2, false, &[b.line("Terminating")]);
     assert!(served_by(&a, &b), "nothing new to the one that drains");
     // Discovery answers nonsense, an error, nothing: the list held stays.
     sidecar.discovery.fail(Reply::text(200, "", "{"));
@@ -230,17 +217,14 @@
     sidecar.discovery.fail(Reply::Close);
     assert!(served_by(&a, &b));
     // And what it has to say afterwards counts.
-    sidecar.discovery.say(3, false, &[b.line("Ready"), a.line("Gone")]);
-    sidecar.discovery.wait_for_index(3);
+    sidecar.discovery.tell(3, false, &[b.line("Ready"), a.line("Gone")]);
     assert!(served_by(&b, &a));
     // A whole list of a lower revision: it has begun to count anew.
-    sidecar.discovery.say(1, true, &[a.line("Ready")]);
-    sidecar.discovery.wait_for_index(1);
+    sidecar.discovery.tell(1, true, &[a.line("Ready")]);
     assert!(served_by(&a, &b), "who is missing from a whole list is gone");
     // A change to a list older than the one held is no base: the whole list is asked for.
     sidecar.discovery.say(0, false, &[b.line("Ready")]);
-    sidecar.discovery.say(5, true, &[b.line("Ready")]);
-    sidecar.discovery.wait_for_index(5);
+    sidecar.discovery.tell(5, true, &[b.line("Ready")]);
     assert!(served_by(&b, &a));
 }
 
@@ -251,8 +235,7 @@
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
     let mut line = old.line("Ready");
     line["host_port"] = json!(new.addr.to_string());
-    sidecar.discovery.say(2, false, &[line]);
-    sidecar.discovery.wait_for_index(2);
+    sidecar.discovery.tell(2, false, &[line]);
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
     assert_eq!((old.requests().len(), new.requests().len()), (1, 1));
     old.wait_for("the kept connection to close", |state| state.closed_by_peer == 1);
@@ -262,10 +245,7 @@
 fn the_next_watch_comes_at_once_and_names_the_revision_held() {
     let (upstream, sidecar) = served(|_| {});
     // The shortest of several waits: a busy machine may delay some, a pause of the sidecar's own would all.
-    let waits = (2..8).map(|revision| {
-        sidecar.discovery.say(revision, false, &[upstream.line("Ready")]);
-        sidecar.discovery.wait_for_index(revision)
-    });
+    let waits = (2..8).map(|revision| sidecar.discovery.tell(revision, false, &[upstream.line("Ready")]));
     let shortest = waits.min().expect("some");
     assert!(shortest < Duration::from_millis(150), "{shortest:?}");
 }
@@ -329,8 +309,7 @@
         config["settings"]["discovery"] = json!("on_request");
         config["settings"]["obligations"] = json!({"mustAskIn": 200.0});
     });
-    sidecar.discovery.say(2, true, &[b.line("Ready")]);
-    sidecar.discovery.wait_for_index(2);
+    sidecar.discovery.tell(2, true, &[b.line("Ready")]);
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
     assert_eq!(b.requests().len(), 1);
 }
@@ -365,9 +344,7 @@
     let sidecar = Sidecar::with(&[&warm, &cold], |config| {
         config["known"]["members"][1]["up_since_ms"] = json!(now as u64);
     });
-    for _ in 0..60 {
-        assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
-    }
+    sidecar.serves(60, 2.0);
     assert!(cold.requests().len() < 20, "{}", cold.requests().len());
 }
 
@@ -411,8 +388,7 @@
     let (upstream, sidecar) = served(|config| {
         config["settings"]["requestClasses"][0]["aim"] = json!(400.0);
     });
-    sidecar.discovery.say(2, true, &[upstream.line("Terminating")]);
-    sidecar.discovery.wait_for_index(2);
+    sidecar.discovery.tell(2, true, &[upstream.line("Terminating")]);
     let start = Instant::now();
     let answer = sidecar.ask(&call("pay", 60.0));
     let retry_after: f64 = answer.header("retry-after").expect("advice").parse().expect("seconds");
@@ -454,8 +430,7 @@
             assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200, "{mode}");
         }
         assert_eq!((a.requests().len(), b.requests().len()), (2, 4), "{mode}");
-        sidecar.discovery.say(1, false, &[b.line("Terminating"), a.line("Ready")]);
-        sidecar.discovery.wait_for_index(1);
+        sidecar.discovery.tell(1, false, &[b.line("Terminating"), a.line("Ready")]);
         assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200, "{mode}");
         assert_eq!(a.requests().len(), 3, "{mode}: and what it has to say afterwards");
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -298,6 +298,12 @@
         });
     }
 
+    /// The same, and waits for the watch from there on; tells how long after the answer it came.
+    pub fn tell(&self, revision: u64, complete: bool, members: &[Value]) -> Duration {
+        self.say(revision, complete, members);
+        self.wait_for_index(revision)
+    }
+
     /// The next call goes wrong like this; waits until it has.
     pub fn fail(&self, reply: Reply) {
         let calls = self.registry.change(|r| {
@@ -451,11 +457,33 @@
 
 /// A sidecar and its only upstream, which serves.
 pub fn served(change: impl FnOnce(&mut Value)) -> (Upstream, Sidecar) {
-    let upstream = Upstream::start(|_| ok("served"));
+    answered(|_| ok("served"), change)
+}
+
+/// A sidecar and its only upstream, which replies like this.
+pub fn answered(
+    reply: impl Fn(&Seen) -> Reply + Send + Sync + 'static, change: impl FnOnce(&mut Value),
+) -> (Upstream, Sidecar) {
+    let upstream = Upstream::start(reply);
     let sidecar = Sidecar::with(&[&upstream], change);
     (upstream, sidecar)
 }
 
+/// Waits until it is so; panics with `what` where that takes too long.
+pub fn wait(what: &str, mut until: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !until() {
+        assert!(start.elapsed() < LONG, "waited in vain for {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn reach(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).expect("accepted");
+    stream.set_read_timeout(Some(LONG)).expect("set");
+    stream
+}
+
 impl Sidecar {
     pub fn start(upstreams: &[&Upstream]) -> Sidecar {
         Sidecar::with(upstreams, |_| {})
@@ -463,14 +491,14 @@
 
     /// Starts one after this shell command.
     pub fn under(shell: &str, upstreams: &[&Upstream]) -> Sidecar {
-        Sidecar::launch(shell, Stdio::null(), upstreams, |_| {})
+        Sidecar::launch(Dir::new(), shell, Stdio::null(), upstreams, |_| {})
     }
 
     /// Starts one that inherits the clients' socket.
     pub fn inheriting(
         listener: &TcpListener, upstreams: &[&Upstream], change: impl FnOnce(&mut Value),
     ) -> Sidecar {
-        Sidecar::launch(INHERIT, stdin_of(listener), upstreams, change)
+        Sidecar::launch(Dir::new(), INHERIT, stdin_of(listener), upstreams, change)
     }
 
     /// Starts one that finds its `$TMPDIR` prepared.
@@ -479,7 +507,7 @@
     ) -> Sidecar {
         let dir = Dir::new();
         prepare(&dir.0.join("tmp"));
-        Sidecar::launch_in(dir, ":", Stdio::null(), upstreams, change)
+        Sidecar::launch(dir, ":", Stdio::null(), upstreams, change)
     }
 
     /// A new version beside this one, as at an upgrade.
@@ -489,7 +517,7 @@
     }
 
     pub fn with(upstreams: &[&Upstream], change: impl FnOnce(&mut Value)) -> Sidecar {
-        Sidecar::launch(":", Stdio::null(), upstreams, change)
+        Sidecar::launch(Dir::new(), ":", Stdio::null(), upstreams, change)
     }
 
     fn config(known: &Value, discovery: &str) -> Value {
@@ -521,12 +549,6 @@
 
     /// Starts one that is ready and has asked discovery, which knows these upstreams.
     fn launch(
-        shell: &str, stdin: Stdio, upstreams: &[&Upstream], change: impl FnOnce(&mut Value),
-    ) -> Sidecar {
-        Sidecar::launch_in(Dir::new(), shell, stdin, upstreams, change)
-    }
-
-    fn launch_in(
         dir: Dir, shell: &str, stdin: Stdio, upstreams: &[&Upstream], change: impl FnOnce(&mut Value),
     ) -> Sidecar {
         let members: Vec<Value> = upstreams.iter().map(|upstream| upstream.line("Ready")).collect();
@@ -574,9 +596,7 @@
     }
 
     pub fn connect(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.addr).expect("accepted");
-        stream.set_read_timeout(Some(LONG)).expect("set");
-        stream
+        reach(self.addr)
     }
 
     /// A connection of its own with this call written to it.
@@ -595,9 +615,7 @@
 
     /// A connection to the door for operators.
     pub fn door(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.control.expect("a door")).expect("accepted");
-        stream.set_read_timeout(Some(LONG)).expect("set");
-        stream
+        reach(self.control.expect("a door"))
     }
 
     /// An operator's call, such as `GET /ready`: its status and text; 0 if it was closed without a word.
@@ -618,6 +636,12 @@
         value.unwrap_or_else(|| panic!("{name} in {text}"))
     }
 
+    /// So many calls of `pay` are served, one after the other.
+    #[track_caller]
+    pub fn serves(&self, count: usize, budget: f64) {
+        (0..count).for_each(|_| assert_eq!(self.ask(&call("pay", budget)).status, 200));
+    }
+
     /// On a connection of its own.
     pub fn ask(&self, call: &Call) -> Answer {
         let mut stream = self.connect();
@@ -642,11 +666,7 @@
     }
 
     pub fn wait_until(&self, what: &str, until: impl Fn(&Sidecar) -> bool) {
-        let start = Instant::now();
-        while !until(self) {
-            assert!(start.elapsed() < LONG, "waited in vain for {what}");
-            thread::sleep(Duration::from_millis(5));
-        }
+        wait(what, || until(self));
     }
 
     pub fn terminate(&self) {
@@ -658,14 +678,9 @@
     }
 
     pub fn exit_code(&mut self) -> Option<i32> {
-        let start = Instant::now();
-        loop {
-            if let Some(status) = self.process.try_wait().expect("a child") {
-                return status.code();
-            }
-            assert!(start.elapsed() < LONG, "waited in vain for the end");
-            thread::sleep(Duration::from_millis(5));
-        }
+        let mut ended = || self.process.try_wait().expect("a child");
+        wait("the end", || ended().is_some());
+        ended().and_then(|status| status.code())
     }
 
     /// The most memory that it has held, in kilobytes.
