Tests: cases of the sidecar's sockets in tables, and what they share in one place

The same two upstreams, the same reading to a connection's end and the same pairs of status and text were written out in many tests. Near-equal cases are tables now.

--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use serde_json::json;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 use world::*;
@@ -27,14 +27,6 @@
     client
 }
 
-/// Whatever comes until the connection closes.
-fn all_of(mut client: TcpStream) -> String {
-    let mut said = Vec::new();
-    let end = client.read_to_end(&mut said).map_err(|error| error.kind());
-    assert!(!matches!(end, Err(std::io::ErrorKind::WouldBlock)), "still open");
-    String::from_utf8_lossy(&said).into_owned()
-}
-
 #[test]
 fn long_bodies_go_through_unchanged_in_bounded_memory_with_many_at_once() {
     const LONG: usize = 3_000_000;
@@ -69,8 +61,7 @@
         ("nothing", chunked("", 1, "", ""), ""),
         ("a long one of known length", format!("{}Content-Length: 100000\r\n\r\n{long}", head()), &long),
     ] {
-        let answer = Answer::read(&mut send(&sidecar, &request));
-        assert_eq!((answer.status, answer.body.as_str()), (200, body), "{what}");
+        assert_eq!(Answer::read(&mut send(&sidecar, &request)).whole(), (200, body), "{what}");
     }
     // In small pieces, twice on one connection.
     let mut client = sidecar.connect();
@@ -80,13 +71,11 @@
             client.write_all(piece).expect("written");
             std::thread::sleep(Duration::from_millis(1));
         }
-        let answer = Answer::read(&mut client);
-        assert_eq!((answer.status, answer.body.as_str()), (200, "in pieces"));
+        assert_eq!(Answer::read(&mut client).whole(), (200, "in pieces"));
     }
     // Who asks first whether to go on is told to.
     let mut client = send(&sidecar, &format!("{}Expect: 100-continue\r\nContent-Length: 4\r\n\r\n", head()));
-    let interim = Answer::read(&mut client);
-    assert_eq!(interim.status, 100);
+    assert_eq!(Answer::read(&mut client).status, 100);
     client.write_all(b"body").expect("written");
     assert_eq!(Answer::read(&mut client).body, "body");
 }
@@ -94,27 +83,25 @@
 #[test]
 fn every_form_of_an_answer_is_passed_on() {
     let long = text(100_000);
-    let chunked = |body: &str| format!("{:x};ext=1\r\n{body}\r\n0\r\nX-Sum: 1\r\n\r\n", body.len());
+    let chunked = |body: &str| {
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        format!("{head}{:x};ext=1\r\n{body}\r\n0\r\nX-Sum: 1\r\n\r\n", body.len())
+    };
     let of_length = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
     for (what, raw, body) in [
-        ("chunked", format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunked("hi")), "hi"),
-        (
-            "long and chunked",
-            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}", chunked(&long)),
-            &long,
-        ),
+        ("chunked", chunked("hi"), "hi"),
+        ("long and chunked", chunked(&long), &long),
         ("ended by the close", "HTTP/1.1 200 OK\r\n\r\nhi".into(), "hi"),
         ("long and ended by the close", format!("HTTP/1.1 200 OK\r\n\r\n{long}"), &long),
         (
             "after others",
-            format!("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 102 X\r\n\r\n{}", of_length("hi")),
+            "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 102 X\r\n\r\n".to_owned() + &of_length("hi"),
             "hi",
         ),
         ("long", of_length(&long), &long),
     ] {
         let (_upstream, sidecar) = answered(move |_| Reply::Raw(raw.clone()), |_| {});
-        let answer = sidecar.ask(&call("pay", 10.0));
-        assert_eq!((answer.status, answer.body.as_str()), (200, body), "{what}");
+        assert_eq!(sidecar.ask(&call("pay", 10.0)).whole(), (200, body), "{what}");
     }
     // In small pieces, past the end of the request's time: what the upstream still gives is not cut off.
     let whole = of_length(&long);
@@ -123,8 +110,7 @@
         Reply::Pieces(pieces.collect(), Duration::from_millis(20))
     });
     let sidecar = Sidecar::with(&[&upstream], with_door);
-    let answer = sidecar.ask(&call("pay", 0.3));
-    assert_eq!((answer.status, answer.body == long), (200, true));
+    assert_eq!(sidecar.ask(&call("pay", 0.3)).whole(), (200, long.as_str()));
     sidecar.wait_until("its end", |sidecar| sidecar.figure("calls.pay.success") == 1);
     assert_eq!(sidecar.figure("inflight"), 0);
 }
@@ -157,32 +143,27 @@
         ("a framing of its own", "Transfer-Encoding: gzip\r\n\r\nbody".into()),
         ("a bad chunk size", "Transfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n".into()),
         ("a chunk longer than it says", "Transfer-Encoding: chunked\r\n\r\n2\r\nbody\r\n0\r\n\r\n".into()),
-        ("a bad chunk size later", {
-            format!("Transfer-Encoding: chunked\r\n\r\n30d40\r\n{long}\r\nzz\r\n\r\n")
-        }),
+        ("a bad size later", format!("Transfer-Encoding: chunked\r\n\r\n30d40\r\n{long}\r\nzz\r\n\r\n")),
         ("far too long", "Content-Length: 60000000\r\n\r\nbody".into()),
     ] {
         let said = all_of(send(&sidecar, &format!("{}{framing}", head())));
         assert!(said.is_empty() || said.starts_with("HTTP/1.1 4"), "{what}: {said}");
     }
     // Cut short, by a client that then waits for its answer.
-    for framing in [
+    let cut = [
         "Content-Length: 9\r\n\r\nhalf".into(),
-        format!("Content-Length: 300000\r\n\r\n{long}"),
         "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n".into(),
+        format!("Content-Length: 300000\r\n\r\n{long}"),
         format!("Transfer-Encoding: chunked\r\n\r\n30d40\r\n{long}\r\n"),
-    ] {
+    ];
+    for framing in &cut {
         let client = send(&sidecar, &format!("{}{framing}", head()));
         client.shutdown(std::net::Shutdown::Write).expect("shut");
         let said = all_of(client);
         assert!(said.is_empty() || said.starts_with("HTTP/1.1 4"), "{said}");
     }
     // Stopped without a word: shown out, the peers of one connection after the other.
-    for framing in [
-        "Content-Length: 9\r\n\r\nhalf".into(),
-        "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n".into(),
-        format!("Content-Length: 300000\r\n\r\n{long}"),
-    ] {
+    for framing in &cut[..3] {
         let said = all_of(send(&sidecar, &format!("{}{framing}", head())));
         assert!(said.is_empty() || said.starts_with("HTTP/1.1 408"), "{said}");
     }
@@ -208,8 +189,7 @@
             client.write_all(piece).expect("written");
             std::thread::sleep(Duration::from_millis(100));
         }
-        let answer = Answer::read(&mut client);
-        assert_eq!((answer.status, answer.body), (200, length.to_string()));
+        assert_eq!(Answer::read(&mut client).whole(), (200, length.to_string().as_str()));
     }
 }
 
@@ -226,8 +206,7 @@
             std::thread::sleep(Duration::from_millis(250));
             client.write_all(piece).expect("written");
         }
-        let answer = Answer::read(&mut client);
-        assert_eq!((answer.status, answer.body.as_str()), (200, "abcd"));
+        assert_eq!(Answer::read(&mut client).whole(), (200, "abcd"));
     }
 }
 
@@ -242,8 +221,8 @@
         assert_eq!(sidecar.ask(&call("pay", 5.0).body(&long)).body, "300000");
     }
     // One breaks when it has all, and what is sent again is not even what may be.
-    let both = [(); 2].map(|()| Upstream::start(|_| Reply::Close));
-    let sidecar = Sidecar::start(&[&both[0], &both[1]]);
+    let both = twins(|_| Reply::Close);
+    let sidecar = Sidecar::start(&both.each_ref());
     for (class, key) in [("pay", ""), ("report", "k")] {
         let call = call(class, 5.0).header("Idempotency-Key", key);
         let status = sidecar.ask(&call.body(&long)).status;
@@ -255,9 +234,7 @@
 #[test]
 fn an_answer_that_breaks_on_its_way_is_cut_so_that_the_client_can_tell() {
     let long = text(200_000);
-    for framing in
-        ["Content-Length: 300000\r\n\r\n".to_owned(), "Transfer-Encoding: chunked\r\n\r\n30d40\r\n".into()]
-    {
+    for framing in ["Content-Length: 300000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n30d40\r\n"] {
         let raw = format!("HTTP/1.1 200 OK\r\n{framing}{long}");
         let (_upstream, sidecar) = answered(move |_| Reply::Raw(raw.clone()), with_door);
         let said = all_of(send(&sidecar, &call("pay", 5.0).text()));
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::{TcpListener, UdpSocket};
+use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::process::Stdio;
 use std::time::Duration;
 use world::*;
@@ -35,10 +35,8 @@
 #[test]
 fn a_descriptor_that_is_no_listening_socket_is_a_start_error_that_names_it() {
     let socket = listener();
-    let connected =
-        std::net::TcpStream::connect(socket.local_addr().expect("an address")).expect("a connection");
+    let connected = TcpStream::connect(socket.local_addr().expect("an address")).expect("a connection");
     let datagrams = UdpSocket::bind("127.0.0.1:0").expect("a port");
-    let given = |stdin: Stdio, shell: &str| start_error(shell, stdin, |_| {});
     for (shell, said) in [
         ("export BALANCER_LISTEN_FD=five", "\"five\" is no descriptor"),
         ("export BALANCER_LISTEN_FD=", "\"\" is no descriptor"),
@@ -46,14 +44,14 @@
         ("export BALANCER_LISTEN_FD=57", "descriptor 57 is not open"),
         ("exec 5</dev/null; export BALANCER_LISTEN_FD=5", "descriptor 5 is not open or no socket"),
     ] {
-        let error = given(Stdio::null(), shell);
+        let error = start_error(shell, Stdio::null(), |_| {});
         assert!(error.contains("BALANCER_LISTEN_FD") && error.contains(said), "{shell}: {error}");
     }
     for (what, stdin) in [
         ("connected", Stdio::from(std::os::fd::OwnedFd::from(connected))),
         ("datagrams", Stdio::from(std::os::fd::OwnedFd::from(datagrams))),
     ] {
-        let error = given(stdin, INHERIT);
+        let error = start_error(INHERIT, stdin, |_| {});
         assert!(error.contains("descriptor 5 is no listening stream socket"), "{what}: {error}");
     }
 }
@@ -62,17 +60,9 @@
 fn the_door_says_no_to_what_is_no_call_and_changes_nothing() {
     let (_upstream, sidecar) = served(with_door);
     assert_eq!(sidecar.operate("GET /ready").0, 200);
-    for (call, status) in [
-        ("GET /", 404),
-        ("PUT /upstreams", 404),
-        ("GET /health/ready", 404),
-        ("GET /api", 404),
-        ("PUT /ready", 405),
-        ("POST /metrics", 405),
-        ("GET /drain", 405),
-        ("DELETE /undrain", 405),
-        ("no call at all", 400),
-    ] {
+    let unknown = ["GET /", "PUT /upstreams", "GET /health/ready", "GET /api"].map(|call| (call, 404));
+    let not_so = ["PUT /ready", "POST /metrics", "GET /drain", "DELETE /undrain"].map(|call| (call, 405));
+    for (call, status) in [unknown.as_slice(), &not_so, &[("no call at all", 400)]].concat() {
         assert_eq!(sidecar.operate(call).0, status, "{call}");
     }
     let long = "x".repeat(20_000);
@@ -87,11 +77,7 @@
     ] {
         let mut door = sidecar.door();
         drop(door.write_all(text.as_bytes()));
-        let mut said = Vec::new();
-        // A reset is a close, too; a read that runs into the 30 s is not.
-        let end = door.read_to_end(&mut said).map_err(|error| error.kind());
-        assert!(!matches!(end, Err(std::io::ErrorKind::WouldBlock)), "{what}: still open");
-        let said = String::from_utf8_lossy(&said);
+        let said = all_of(door);
         assert!(said.is_empty() || said.starts_with("HTTP/1.1 4"), "{what}: {said}");
     }
     assert_eq!(sidecar.ready(), 200, "none of it was a drain");
@@ -102,8 +88,7 @@
     let mut door = sidecar.door();
     let twice = "GET /ready HTTP/1.1\r\nHost: n0\r\n\r\n".repeat(2);
     door.write_all(twice.as_bytes()).expect("written");
-    let mut said = String::new();
-    drop(door.read_to_string(&mut said));
+    let said = all_of(door);
     assert_eq!(said.matches("HTTP/1.1").count(), 1, "{said}");
 }
 
@@ -150,12 +135,11 @@
             assert_eq!(sidecar.figure(&format!("calls.{class}.{ending}")), 0);
         }
     }
-    let bad = call("pay", 5.0).header("X-Budget", "soon");
     for (call, status) in [
         (call("pay", 5.0), 200),
         (call("look", 5.0).method("GET"), 200),
         (call("pay", 5.0).header("X-Call-Cost", "1"), 502),
-        (bad, 400),
+        (call("pay", 5.0).header("X-Budget", "soon"), 400),
     ] {
         assert_eq!(sidecar.ask(&call).status, status);
     }
@@ -227,10 +211,9 @@
 
 #[test]
 fn an_upstream_out_by_hand_gets_nothing_until_one_call_brings_it_back() {
-    let both = [(); 2].map(|()| Upstream::start(|_| ok("served")));
-    let sidecar = Sidecar::with(&[&both[0], &both[1]], with_door);
-    let (out, other) = (&both[0], &both[1]);
-    let id = out.line("Ready")["id"].as_str().expect("an id").to_owned();
+    let [out, other] = &twins(|_| ok("served"));
+    let sidecar = Sidecar::with(&[out, other], with_door);
+    let id = out.id();
     let serve = |count: usize| {
         let before = out.requests().len();
         sidecar.serves(count, 5.0);
@@ -251,8 +234,7 @@
     assert!(serve(60) > 0);
     // All out: nothing is sent, and a refusal comes at once.
     for upstream in [out, other] {
-        let id = upstream.line("Ready")["id"].as_str().expect("an id").to_owned();
-        assert_eq!(sidecar.operate(&format!("PUT /upstreams/disable?name={id}")).0, 200);
+        assert_eq!(sidecar.operate(&format!("PUT /upstreams/disable?name={}", upstream.id())).0, 200);
     }
     let before = out.requests().len() + other.requests().len();
     assert_eq!(sidecar.ask(&call("pay", 60.0)).status, 503);
@@ -263,21 +245,24 @@
 #[test]
 fn a_bad_name_of_an_upstream_is_told_and_changes_nothing() {
     let (upstream, sidecar) = served(with_door);
-    let id = upstream.line("Ready")["id"].as_str().expect("an id").to_owned();
+    let id = upstream.id();
     for call in ["disable", "enable"] {
-        for (query, status) in [
-            (String::new(), 400),
-            ("?".into(), 400),
-            ("?name".into(), 400),
-            ("?name=".into(), 400),
-            (format!("?id={id}"), 400),
-            (format!("?name={id}&name={id}"), 400),
-            (format!("?name={id}%2"), 400),
-            (format!("?name={id}%zz"), 400),
-            ("?name=%ff%fe".into(), 400),
-            ("?name=s-nobody".into(), 404),
-            (format!("?name={id}%20"), 404),
-        ] {
+        let bad = [
+            "",
+            "?",
+            "?name",
+            "?name=",
+            "?id=ID",
+            "?name=ID&name=ID",
+            "?name=ID%2",
+            "?name=ID%zz",
+            "?name=%ff%fe",
+        ];
+        let unknown = ["?name=s-nobody", "?name=ID%20"];
+        for (query, status) in
+            bad.map(|query| (query, 400)).into_iter().chain(unknown.map(|query| (query, 404)))
+        {
+            let query = query.replace("ID", &id);
             assert_eq!(sidecar.operate(&format!("PUT /upstreams/{call}{query}")).0, status, "{call}{query}");
         }
         assert_eq!(sidecar.operate(&format!("GET /upstreams/{call}?name={id}")).0, 405);
@@ -292,17 +277,16 @@
 fn bans_cross_over_an_upgrade_and_so_do_those_made_while_both_run() {
     let all = [(); 3].map(|()| Upstream::start(|_| ok("served")));
     let socket = listener();
-    let old = Sidecar::inheriting(&socket, &[&all[0], &all[1], &all[2]], with_door);
-    let ids = all.each_ref().map(|upstream| upstream.line("Ready")["id"].as_str().expect("an id").to_owned());
-    let out = |sidecar: &Sidecar, at: usize| {
-        assert_eq!(sidecar.operate(&format!("PUT /upstreams/disable?name={}", ids[at])).0, 200);
-    };
-    out(&old, 0);
+    let old = Sidecar::inheriting(&socket, &all.each_ref(), with_door);
+    let ids = all.each_ref().map(Upstream::id);
+    let out =
+        |at: &Sidecar, id: &str| assert_eq!(at.operate(&format!("PUT /upstreams/disable?name={id}")).0, 200);
+    out(&old, &ids[0]);
     let new = old.successor(&socket);
     assert_eq!(new.figure("hosts_down"), 1, "from its start");
-    out(&old, 1);
+    out(&old, &ids[1]);
     new.wait_until("the ban made at the old one", |new| new.figure("hosts_down") == 2);
-    out(&new, 2);
+    out(&new, &ids[2]);
     old.wait_until("the ban made at the new one", |old| old.figure("hosts_down") == 3);
     assert_eq!(new.operate(&format!("PUT /upstreams/enable?name={}", ids[0])).0, 200);
     old.wait_until("the return", |old| old.figure("hosts_down") == 2);
@@ -313,7 +297,7 @@
 #[test]
 fn a_damaged_state_file_is_left_aside_and_one_that_cannot_be_written_is_a_no() {
     let upstream = Upstream::start(|_| ok("served"));
-    let id = upstream.line("Ready")["id"].as_str().expect("an id").to_owned();
+    let id = upstream.id();
     for text in ["", "{\"disabled\":[\"s-", "{\"disabled\":[1]}", "[]", "\u{0}\u{1}"] {
         let sidecar = Sidecar::after(&[&upstream], with_door, |tmp| {
             std::fs::write(tmp.join("bans-n0.json"), text).expect("written");
@@ -334,7 +318,7 @@
 
 #[test]
 fn beside_its_predecessor_a_process_is_ready_once_discovery_has_spoken() {
-    let [kept, left] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
+    let [kept, left] = twins(|_| ok("served"));
     let socket = listener();
     let old = Sidecar::inheriting(&socket, &[&kept, &left], |config| {
         with_door(config);
@@ -355,11 +339,10 @@
 fn old_and_new_together_stay_within_the_descriptors_of_one() {
     let upstream = Upstream::start(|_| ok("served"));
     let socket = listener();
-    let limits = |config: &mut serde_json::Value| {
+    let old = Sidecar::inheriting(&socket, &[&upstream], |config| {
         with_door(config);
         config["limits"]["sockets"] = json!(160);
-    };
-    let old = Sidecar::inheriting(&socket, &[&upstream], limits);
+    });
     let new = old.successor(&socket);
     // More than both have room for, kept by their clients.
     let kept: Vec<_> = (0..200).map(|_| old.kept()).collect();
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -13,8 +13,7 @@
     let upstream = Upstream::start(|_| ok("\u{0}the answer"));
     let sidecar = Sidecar::start(&[&upstream]);
     let call = call("report", 2.0).header("X-Call-Id", "call-x").header("Idempotency-Key", "k1");
-    let answer = sidecar.ask(&call.path("/api?x=1%20y").body("hello"));
-    assert_eq!((answer.status, answer.body.as_str()), (200, "\u{0}the answer"));
+    assert_eq!(sidecar.ask(&call.path("/api?x=1%20y").body("hello")).whole(), (200, "\u{0}the answer"));
     let seen = upstream.requests();
     assert_eq!(seen.len(), 1);
     assert_eq!((seen[0].line.as_str(), seen[0].body.as_str()), ("POST /api?x=1%20y HTTP/1.1", "hello"));
@@ -34,12 +33,7 @@
         ("half an answer", Reply::Raw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf".into())),
     ];
     for (what, reply) in may_have_run {
-        let [a, b] = [(); 2].map(|()| {
-            Upstream::start({
-                let reply = reply.clone();
-                move |_| reply.clone()
-            })
-        });
+        let [a, b] = twins(move |_| reply.clone());
         let sidecar = Sidecar::start(&[&a, &b]);
         let answer = sidecar.ask(&call("pay", 2.0));
         assert!(![200, 429, 503].contains(&answer.status), "{what}: {}", answer.status);
@@ -52,14 +46,10 @@
     for status in [503, 504] {
         // Whichever has the fifteenth turns it away; requests before it have earned it another attempt.
         let asked = Shared::default();
-        let both = [(); 2].map(|()| {
-            let asked = asked.clone();
-            Upstream::start(move |_| match asked.count() {
-                15 => Reply::text(status, "X-Rejected: 1\r\n", ""),
-                _ => ok("served"),
-            })
-        });
-        let sidecar = Sidecar::start(&[&both[0], &both[1]]);
+        let of = asked.clone();
+        let turned_away = Reply::text(status, "X-Rejected: 1\r\n", "");
+        let both = twins(move |_| if of.count() == 15 { turned_away.clone() } else { ok("served") });
+        let sidecar = Sidecar::start(&both.each_ref());
         sidecar.serves(16, 2.0);
         assert_eq!(asked.count(), 18, "one was sent twice");
     }
@@ -112,14 +102,8 @@
 #[test]
 fn malformed_requests_are_answered_and_go_nowhere() {
     let (upstream, sidecar) = served(|_| {});
-    let bad = [
-        call("nobody", 1.0),
-        call("pay", 1.0).header("X-Budget", "soon"),
-        call("pay", 1.0).header("X-Budget", "-1"),
-        call("pay", 1.0).header("X-Budget", "NaN"),
-    ];
-    for call in bad {
-        let answer = sidecar.ask(&call);
+    for (class, budget) in [("nobody", "1"), ("pay", "soon"), ("pay", "-1"), ("pay", "NaN")] {
+        let answer = sidecar.ask(&call(class, 1.0).header("X-Budget", budget));
         assert!((400..500).contains(&answer.status) && answer.status != 429, "{}", answer.status);
     }
     let mut client = sidecar.connect();
@@ -188,11 +172,8 @@
 
 #[test]
 fn what_comes_malformed_from_an_upstream_is_a_failure_and_no_panic() {
-    for raw in [
-        "\u{1}\u{2}garbage\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: soon\r\n\r\n",
-        "HTTP/1.1 999\r\n\r\n",
-    ] {
+    let bad_length = "HTTP/1.1 200 OK\r\nContent-Length: soon\r\n\r\n";
+    for raw in ["\u{1}\u{2}garbage\r\n\r\n", bad_length, "HTTP/1.1 999\r\n\r\n"] {
         let (_upstream, sidecar) = answered(move |_| Reply::Raw(raw.into()), |_| {});
         assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 502, "{raw}");
     }
@@ -200,7 +181,7 @@
 
 #[test]
 fn the_list_is_followed_and_kept_through_failures() {
-    let [a, b] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
+    let [a, b] = twins(|_| ok("served"));
     let sidecar = Sidecar::start(&[&a, &b]);
     let served_by = |expected: &Upstream, other: &Upstream| {
         let before = other.requests().len();
@@ -230,7 +211,7 @@
 
 #[test]
 fn an_upstream_whose_address_changes_is_found_at_the_new_one() {
-    let [old, new] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
+    let [old, new] = twins(|_| ok("served"));
     let sidecar = Sidecar::start(&[&old]);
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
     let mut line = old.line("Ready");
@@ -304,7 +285,7 @@
 
 #[test]
 fn what_discovery_is_asked_for_is_watched_once_the_module_subscribes() {
-    let [a, b] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
+    let [a, b] = twins(|_| ok("served"));
     let sidecar = Sidecar::with(&[&a], |config| {
         config["settings"]["discovery"] = json!("on_request");
         config["settings"]["obligations"] = json!({"mustAskIn": 200.0});
@@ -316,17 +297,11 @@
 
 #[test]
 fn a_quiet_sidecar_asks_upstreams_for_their_load_first() {
-    let many: Vec<Upstream> = (0..6)
-        .map(|i| {
-            Upstream::start(move |request| match request.line.as_str() {
-                "GET /stats HTTP/1.1" => {
-                    ok(&format!("{{\"depth\":0,\"concurrent\":{}}}", if i == 0 { 0 } else { 9 }))
-                }
-                _ => ok("served"),
-            })
-        })
-        .collect();
-    let sidecar = Sidecar::with(&many.iter().collect::<Vec<_>>(), |config| {
+    let many = [0, 9, 9, 9, 9, 9].map(|concurrent| {
+        let load = json!({"depth": 0, "concurrent": concurrent}).to_string();
+        Upstream::start(move |seen| ok(if seen.line == "GET /stats HTTP/1.1" { &load } else { "served" }))
+    });
+    let sidecar = Sidecar::with(&many.each_ref(), |config| {
         config["settings"]["policyLimits"]["probes"] = json!(true);
         config["settings"]["report"] = json!({"how": "on_probe", "fields": ["depth", "concurrent"]});
     });
@@ -338,9 +313,8 @@
 
 #[test]
 fn a_cold_upstream_gets_little_also_from_a_sidecar_that_has_just_started() {
-    let [warm, cold] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
-    let now =
-        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock").as_millis();
+    let [warm, cold] = twins(|_| ok("served"));
+    let now = std::time::UNIX_EPOCH.elapsed().expect("a clock").as_millis();
     let sidecar = Sidecar::with(&[&warm, &cold], |config| {
         config["known"]["members"][1]["up_since_ms"] = json!(now as u64);
     });
@@ -367,18 +341,14 @@
     for (other_cell, status, sent) in [(0, 200, 17), (1, 502, 16)] {
         // Whichever has the sixteenth breaks the connection; those before have earned it another attempt.
         let asked = Shared::default();
-        let both = [(); 2].map(|()| {
-            let asked = asked.clone();
-            Upstream::start(move |_| if asked.count() == 16 { Reply::Close } else { ok("served") })
-        });
-        let sidecar = Sidecar::with(&[&both[0], &both[1]], |config| {
+        let both = twins(move |_| if asked.count() == 16 { Reply::Close } else { ok("served") });
+        let sidecar = Sidecar::with(&both.each_ref(), |config| {
             config["known"]["members"][1]["cell"] = json!(other_cell);
         });
-        for _ in 0..15 {
-            assert_eq!(sidecar.ask(&call("report", 2.0).header("Idempotency-Key", "k")).status, 200);
+        for status in [[200; 15].as_slice(), &[status]].concat() {
+            let call = call("report", 2.0).header("Idempotency-Key", "k");
+            assert_eq!(sidecar.ask(&call).status, status, "cell {other_cell}");
         }
-        let last = call("report", 2.0).header("Idempotency-Key", "k");
-        assert_eq!(sidecar.ask(&last).status, status, "cell {other_cell}");
         assert_eq!(both[0].requests().len() + both[1].requests().len(), sent, "cell {other_cell}");
     }
 }
@@ -412,7 +382,7 @@
 #[test]
 fn at_sighup_discovery_is_followed_at_the_address_that_the_file_names_now() {
     for mode in ["pushed", "on_request"] {
-        let [a, b] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
+        let [a, b] = twins(|_| ok("served"));
         let mut sidecar = Sidecar::with(&[&a], |config| {
             config["settings"]["discovery"] = json!(mode);
             // Asked for seldom enough that only the move can be why it is asked.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -5,7 +5,7 @@
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 use std::collections::VecDeque;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
@@ -140,6 +140,21 @@
     open: Vec<TcpStream>,
 }
 
+/// Serves each connection to a port from the kernel on a thread of its own, until stopped.
+fn listen(
+    stopped: Arc<AtomicBool>, serve: impl Fn(TcpStream) + Send + Sync + 'static,
+) -> (SocketAddr, thread::JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (addr, serve) = (listener.local_addr().expect("an address"), Arc::new(serve));
+    let listening = thread::spawn(move || {
+        for stream in listener.incoming().take_while(|_| !stopped.load(Ordering::SeqCst)) {
+            let (stream, serve) = (stream.expect("a connection"), serve.clone());
+            thread::spawn(move || serve(stream));
+        }
+    });
+    (addr, listening)
+}
+
 pub struct Upstream {
     pub addr: SocketAddr,
     state: Arc<Watched<State>>,
@@ -149,20 +164,9 @@
 
 impl Upstream {
     pub fn start(reply: impl Fn(&Seen) -> Reply + Send + Sync + 'static) -> Upstream {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let addr = listener.local_addr().expect("an address");
-        let (state, stopped, reply) =
-            (Watched::new(State::default()), Arc::new(AtomicBool::new(false)), Arc::new(reply));
-        let (state_of, stopped_of) = (state.clone(), stopped.clone());
-        let listening = thread::spawn(move || {
-            for stream in listener.incoming() {
-                if stopped_of.load(Ordering::SeqCst) {
-                    return;
-                }
-                let (stream, state, reply) = (stream.expect("a connection"), state_of.clone(), reply.clone());
-                thread::spawn(move || Upstream::serve(stream, &state, &*reply));
-            }
-        });
+        let (state, stopped) = (Watched::new(State::default()), Arc::new(AtomicBool::new(false)));
+        let of = state.clone();
+        let (addr, listening) = listen(stopped.clone(), move |stream| Upstream::serve(stream, &of, &reply));
         Upstream { addr, state, stopped, listening: Mutex::new(Some(listening)) }
     }
 
@@ -178,8 +182,7 @@
             match reply(&seen) {
                 Reply::Whole(text) => drop(stream.write_all(text.as_bytes())),
                 Reply::Raw(text) => {
-                    drop(stream.write_all(text.as_bytes()));
-                    drop(stream.shutdown(Shutdown::Write));
+                    drop((stream.write_all(text.as_bytes()), stream.shutdown(Shutdown::Write)))
                 }
                 Reply::Pieces(pieces, pause) => {
                     for piece in pieces {
@@ -194,9 +197,12 @@
         state.change(|state| state.closed_by_peer += 1);
     }
 
+    pub fn id(&self) -> String {
+        format!("s-{:08x}", self.addr.port())
+    }
+
     pub fn line(&self, phase: &str) -> Value {
-        let (id, addr) = (format!("s-{:08x}", self.addr.port()), self.addr.to_string());
-        json!({"id": id, "host_port": addr, "locality": "a", "flavor": "m", "cell": 0, "phase": phase,
+        json!({"id": self.id(), "host_port": self.addr.to_string(), "locality": "a", "flavor": "m", "cell": 0, "phase": phase,
             "size": 1.0, "up_since_ms": 0})
     }
 
@@ -245,16 +251,9 @@
 
 impl Discovery {
     fn start(list: &Value) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let addr = listener.local_addr().expect("an address");
         let registry = Watched::new(Registry { whole: list.to_string(), ..Registry::default() });
         let of = registry.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming() {
-                let (stream, registry) = (stream.expect("a connection"), of.clone());
-                thread::spawn(move || Discovery::serve(stream, &registry));
-            }
-        });
+        let (addr, _) = listen(Arc::default(), move |stream| Discovery::serve(stream, &of));
         Discovery { addr, registry }
     }
 
@@ -392,6 +391,11 @@
     pub fn header(&self, name: &str) -> Option<&str> {
         self.seen.header(name)
     }
+
+    /// The status and the body.
+    pub fn whole(&self) -> (u16, &str) {
+        (self.status, &self.body)
+    }
 }
 
 pub struct Sidecar {
@@ -455,6 +459,11 @@
     config["control"] = json!("127.0.0.1:0");
 }
 
+/// Two upstreams that reply alike.
+pub fn twins(reply: impl Fn(&Seen) -> Reply + Clone + Send + Sync + 'static) -> [Upstream; 2] {
+    [(); 2].map(|()| Upstream::start(reply.clone()))
+}
+
 /// A sidecar and its only upstream, which serves.
 pub fn served(change: impl FnOnce(&mut Value)) -> (Upstream, Sidecar) {
     answered(|_| ok("served"), change)
@@ -478,6 +487,16 @@
     }
 }
 
+/// Whatever comes until the connection closes.
+#[track_caller]
+pub fn all_of(mut from: TcpStream) -> String {
+    let mut said = Vec::new();
+    // A reset is a close, too; a read that runs into the 30 s is not.
+    let end = from.read_to_end(&mut said).map_err(|error| error.kind());
+    assert!(!matches!(end, Err(std::io::ErrorKind::WouldBlock)), "still open");
+    String::from_utf8_lossy(&said).into_owned()
+}
+
 fn reach(addr: SocketAddr) -> TcpStream {
     let stream = TcpStream::connect(addr).expect("accepted");
     stream.set_read_timeout(Some(LONG)).expect("set");
@@ -629,11 +648,9 @@
     pub fn figure(&self, name: &str) -> u64 {
         let (status, text) = self.operate("GET /metrics");
         assert_eq!(status, 200, "{text}");
-        let value = text.lines().find_map(|line| {
-            let (found, rest) = line.strip_prefix("edge_balancer.")?.split_once(':')?;
-            (found == name).then(|| rest.split_once('|').expect("a kind").0.parse().expect("a number"))
-        });
-        value.unwrap_or_else(|| panic!("{name} in {text}"))
+        let prefix = format!("edge_balancer.{name}:");
+        let value = text.lines().find_map(|line| line.strip_prefix(&prefix)?.split_once('|'));
+        value.unwrap_or_else(|| panic!("{name} in {text}")).0.parse().expect("a number")
     }
 
     /// So many calls of `pay` are served, one after the other.
