Tests: a shorter stand for the fleet and its figures

The figures are put together before they are printed, and the stand's start is one closure instead of nested ones. Duties and windows check the same in fewer lines; no check has gone.

--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -3,7 +3,7 @@
 
 mod cluster;
 
-use cluster::{Cluster, Listd, NEW_LEADER, PATIENCE, json, planner, settled};
+use cluster::{Cluster, NEW_LEADER, PATIENCE, json, planner, settled};
 use serde_json::Value;
 use std::time::Instant;
 
@@ -47,10 +47,8 @@
             r#"{{"origin":"n","incarnation":1,"sequence":1,"site":"praha","span_ms":{span},"demand":[],"traffic":[],"plan":null}}"#
         )
     };
-    let node = cluster.node(0);
-    for (body, status) in
-        [(report("1000"), 200), (report("1000"), 409), (report("0"), 400), (" ".repeat(300_000), 413)]
-    {
+    let (node, long) = (cluster.node(0), " ".repeat(300_000));
+    for (body, status) in [(report("1000"), 200), (report("1000"), 409), (report("0"), 400), (long, 413)] {
         assert_eq!(node.call("POST", "/fleet/reports", &body).0, status);
     }
     assert_eq!(json(&node.call("GET", "/fleet/reports", "").1)[0]["report"]["origin"].as_str(), Some("n"));
@@ -66,9 +64,9 @@
     assert_eq!(grant(&cluster, "sonda", "b", 1).0, 400);
 
     // The leader killed: the lease is kept with its token.
-    let (leader, _) = cluster
-        .write("PUT", "/registry/instances/s", &cluster::entry("s", None), NEW_LEADER)
-        .expect("a leader");
+    let entry = cluster::entry("s", None);
+    let written = cluster.write("PUT", "/registry/instances/s", &entry, NEW_LEADER);
+    let (leader, _) = written.expect("a leader");
     let before = planner(&cluster);
     cluster.nodes[leader].take().expect("running").kill();
     assert_eq!(grant(&cluster, "sonda", "b", 60_000).0, 409);
@@ -79,10 +77,9 @@
     // Released, and a watch that is held on another instance hears it.
     let index = settled(&cluster, "GET", "/duties/sonda", "").1["index"].as_u64().expect("an index");
     let release = format!("/duties/sonda?token={token}");
+    let watch = format!("/duties/sonda?index={index}&wait=20000");
     let seen = std::thread::scope(|scope| {
-        let watch =
-            || cluster.node(leader).call("GET", &format!("/duties/sonda?index={index}&wait=20000"), "");
-        let watch = scope.spawn(watch);
+        let watch = scope.spawn(|| cluster.node(leader).call("GET", &watch, ""));
         assert_eq!(settled(&cluster, "DELETE", &release, "").0, 200);
         watch.join().expect("no panic")
     });
@@ -109,12 +106,10 @@
     // Cut off, the holder can't publish, and its instance ends its watch; the majority has another holder.
     cluster.cut(second, true);
     cluster.node(second).until("the cut one still served", |node| !node.serves());
-    let answer = |node: &Listd, method, path: &str, body: &str| {
-        node.call_within(method, path, body, PATIENCE).map(|answer| answer.0)
-    };
     let cut = cluster.node(second);
-    assert!(matches!(answer(cut, "POST", "/fleet/propose", &publish(token)), Some(421 | 503)));
-    assert_eq!(answer(cut, "GET", "/fleet/plan?index=0&wait=20000", ""), Some(503));
+    let answer = |method, path, body: &str| cut.try_call(method, path, body).map(|answer| answer.0);
+    assert!(matches!(answer("POST", "/fleet/propose", &publish(token)), Some(421 | 503)));
+    assert_eq!(answer("GET", "/fleet/plan?index=0&wait=20000", ""), Some(503));
     let (_, third) = next_planner(&cluster, token);
     assert_eq!(publish_by(&cluster, token).0, 409);
     cluster.cut(second, false);
--- a/tests/site/load.rs
+++ b/tests/site/load.rs
@@ -13,6 +13,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::runtime::Builder;
 use tokio::time::{sleep_until, timeout};
 
 /// Requests of a sidecar's clients that are out at once; one more is not sent, and counted as lost.
@@ -68,17 +69,11 @@
         let (sidecars, addrs, ask) = (fleet.size.sidecars, fleet.addrs.clone(), Arc::new(ask));
         let (done_of, stop_of) = (done.clone(), stop.clone());
         let thread = thread::spawn(move || {
-            let runtime =
-                tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-            runtime.block_on(async move {
+            let runtime = Builder::new_current_thread().enable_all().build();
+            runtime.expect("a runtime").block_on(async move {
                 let clients = (0..sidecars).map(|i| {
-                    let client = Client {
-                        sidecar: i,
-                        addrs: addrs.clone(),
-                        kept: Mutex::default(),
-                        out: AtomicUsize::new(0),
-                        done: done_of.clone(),
-                    };
+                    let (addrs, done) = (addrs.clone(), done_of.clone());
+                    let client = Client { sidecar: i, addrs, done, ..Client::default() };
                     let phase = i as f64 / sidecars as f64 / rate;
                     tokio::spawn(come(Arc::new(client), rate, phase, most, ask.clone(), stop_of.clone()))
                 });
@@ -128,6 +123,7 @@
 type Kept = SendRequest<Full<Bytes>>;
 
 /// The clients of one sidecar.
+#[derive(Default)]
 struct Client {
     sidecar: usize,
     addrs: Arc<Mutex<Vec<SocketAddr>>>,
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -77,6 +77,11 @@
     since_ms: Vec<u64>,
 }
 
+/// How a plan holds a site to be.
+pub fn state_of(plan: &Plan, site: usize) -> SiteState {
+    plan.sites.get(SITES[site].0).copied().unwrap_or_default()
+}
+
 /// The time of day.
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64
@@ -84,19 +89,14 @@
 
 /// The list service's part of the configuration.
 fn fleet_table(size: &Size) -> String {
-    let sites: String = SITES
-        .iter()
-        .map(|(site, region)| format!("{site} = {{ region = \"{region}\", rate = {}.0 }}\n", CORES * 1_000))
-        .collect();
-    let tenants: String =
-        TENANTS.iter().map(|(tenant, share)| format!("{tenant} = {{ share = {share} }}\n")).collect();
-    let classes: String = CLASSES
-        .iter()
-        .enumerate()
-        .map(|(i, (class, worth))| {
-            format!("{class} = {{ worth = {worth:.1}, repeatable = {} }}\n", i != UNSAFE)
-        })
-        .collect();
+    let site = |(site, region)| format!("{site} = {{ region = \"{region}\", rate = {}.0 }}\n", CORES * 1_000);
+    let tenant = |(tenant, share)| format!("{tenant} = {{ share = {share} }}\n");
+    let class = |i: usize| {
+        let (class, worth) = CLASSES[i];
+        format!("{class} = {{ worth = {worth:.1}, repeatable = {} }}\n", i != UNSAFE)
+    };
+    let (sites, tenants) = (SITES.map(site).concat(), TENANTS.map(tenant).concat());
+    let classes = [SAFE, KEYED, UNSAFE].map(class).concat();
     format!(
         "[fleet]\ncold_from = {COLD_FROM}\nramp_ms = {}\nfall_multiple = {FALL_MULTIPLE}\n[fleet.sites]\n{sites}\
          [fleet.tenants]\n{tenants}[fleet.classes]\n{classes}{}\n",
@@ -106,7 +106,7 @@
 }
 
 /// What every sidecar is told of the fleet.
-fn settings(zone: usize, sidecars: usize, number: usize, ramp: Duration) -> Value {
+fn settings(number: usize, size: &Size) -> Value {
     let class = |(name, _): &(&str, f64), kind: Value| {
         let mut class = json!({"name": name, "aim": 400.0, "deadline": 3000.0});
         class.as_object_mut().expect("an object").extend(kind.as_object().expect("an object").clone());
@@ -114,9 +114,9 @@
     };
     json!({
         "areas": SITES.map(|(site, _)| site), "skus": ["m"], "orgs": TENANTS.map(|(tenant, _)| json!({"name": tenant})),
-        "zone": zone, "me": number, "instances": sidecars, "discovery": "pushed", "tick": 1.0,
+        "zone": number % SITES.len(), "me": number, "instances": size.sidecars, "discovery": "pushed", "tick": 1.0,
         "policyLimits": {"cancel": true, "mostTries": 3, "retryAfter": true, "maxRetryAfter": 2000.0},
-        "obligations": {"coldFrom": COLD_FROM, "rampTime": ramp.as_millis() as u64, "fallMultiple": FALL_MULTIPLE},
+        "obligations": {"coldFrom": COLD_FROM, "rampTime": size.ramp.as_millis() as u64, "fallMultiple": FALL_MULTIPLE},
         "requestClasses": [
             class(&CLASSES[SAFE], json!({"idempotency": "retryable"})),
             class(&CLASSES[KEYED], json!({"idempotency": "dedup", "group": "zone", "dedupWindow": 7500.0})),
@@ -143,11 +143,8 @@
             since_ms: vec![0; size.sidecars],
             size,
         };
-        for site in 0..SITES.len() {
-            fleet.register(site);
-        }
-        let all: Vec<usize> = (0..fleet.size.sidecars).collect();
-        fleet.start_sidecars(&all);
+        (0..SITES.len()).for_each(|site| _ = fleet.register(site));
+        fleet.start_sidecars(&(0..fleet.size.sidecars).collect::<Vec<_>>());
         fleet
     }
 
@@ -186,34 +183,27 @@
 
     /// Starts these sidecars, or starts them again, some at a time.
     pub fn start_sidecars(&mut self, which: &[usize]) {
-        let (peers, known): (Vec<String>, Value) =
-            (self.fronts.iter().map(|front| front.addr.to_string()).collect(), self.known());
-        let size = self.size.clone();
+        let peers: Vec<String> = self.fronts.iter().map(|front| front.addr.to_string()).collect();
+        let (known, size) = (self.known(), self.size.clone());
+        let start = &|i: usize| {
+            Sidecar::with(&[], |c| {
+                c["name"] = json!(format!("n{i}"));
+                c["seed"] = json!(format!("{:x}", 0x5a00 + i));
+                c["known"] = known.clone();
+                c["discovery_peers"] = json!(peers);
+                if size.control {
+                    c["fleet"] = json!({"peers": peers, "report_ms": 1000});
+                }
+                c["settings"] = settings(i, &size);
+            })
+        };
         for batch in which.chunks(STARTING) {
             batch.iter().for_each(|&i| self.since_ms[i] = unix_ms());
-            let started: Vec<(usize, Sidecar)> = thread::scope(|scope| {
-                let starting: Vec<_> = batch
-                    .iter()
-                    .map(|&i| {
-                        let (peers, known, size, site) = (&peers, &known, &size, self.site_of(i));
-                        scope.spawn(move || {
-                            let sidecar = Sidecar::with(&[], |c| {
-                                c["name"] = json!(format!("n{i}"));
-                                c["seed"] = json!(format!("{:x}", 0x5a00 + i));
-                                c["known"] = known.clone();
-                                c["discovery_peers"] = json!(peers);
-                                if size.control {
-                                    c["fleet"] = json!({"peers": peers, "report_ms": 1000});
-                                }
-                                c["settings"] = settings(site, size.sidecars, i, size.ramp);
-                            });
-                            (i, sidecar)
-                        })
-                    })
-                    .collect();
+            let started: Vec<Sidecar> = thread::scope(|scope| {
+                let starting: Vec<_> = batch.iter().map(|&i| scope.spawn(move || start(i))).collect();
                 starting.into_iter().map(|started| started.join().expect("started")).collect()
             });
-            for (i, sidecar) in started {
+            for (&i, sidecar) in batch.iter().zip(started) {
                 let addr = sidecar.connect().peer_addr().expect("its address");
                 self.addrs.lock().expect("no panic")[i] = addr;
                 self.sidecars[i] = Some(sidecar);
@@ -253,10 +243,7 @@
         self.until(&format!("{} in {states:?}", SITES[site].0), 3 * PATIENCE, |fleet| {
             let running = || (0..3).filter(|&i| fleet.cluster.nodes[i].is_some());
             let plans: Vec<Plan> = running().filter_map(|i| fleet.plan(i)).collect();
-            let is = |plan: &Plan| {
-                let state = plan.sites.get(SITES[site].0).copied().unwrap_or_default();
-                states.contains(&state)
-            };
+            let is = |plan: &Plan| states.contains(&state_of(plan, site));
             mark = plans.iter().map(|plan| plan.mark).max().unwrap_or_default();
             plans.len() == running().count() && plans.iter().all(is)
         });
--- a/tests/site/stand.rs
+++ b/tests/site/stand.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::{Notify, oneshot, watch};
@@ -149,23 +149,18 @@
         let handle = runtime.handle().clone();
         let (alive, ended) = oneshot::channel::<()>();
         let mut listeners = Vec::new();
-        let servers = (0..sites)
-            .map(|site| {
-                let servers = 0..servers;
-                servers
-                    .map(|server| {
-                        let (listener, work) = Stand::listen(&handle, None);
-                        listeners.push((site, server, listener));
-                        Mutex::new(work)
-                    })
-                    .collect()
-            })
-            .collect();
+        let mut start = |site: usize, server: usize| {
+            let (listener, work) = Stand::listen(&handle, None);
+            listeners.push(((site, server), listener));
+            Mutex::new(work)
+        };
+        let servers =
+            (0..sites).map(|site| (0..servers).map(|server| start(site, server)).collect()).collect();
         let faults = (0..sites).map(|_| watch::Sender::new(SiteFault::Up)).collect();
         let (extra, log, falls) = Default::default();
         let shared = Arc::new(Shared { ramp, faults, servers, extra, log, falls });
-        for (site, server, (listener, alive)) in listeners {
-            handle.spawn(serve(shared.clone(), site, server, listener, alive));
+        for (place, (listener, alive)) in listeners {
+            handle.spawn(serve(shared.clone(), place, listener, alive));
         }
         thread::spawn(move || runtime.block_on(ended));
         Stand { shared, runtime: handle, _alive: alive }
@@ -206,11 +201,11 @@
     /// Every server of a site starts anew, on a port of its own, cold; what was open there ends.
     pub fn restart_cold(&self, site: usize) {
         self.set(site, SiteFault::Up);
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64;
+        let unix = super::unix_ms();
         for (server, work) in self.shared.servers[site].iter().enumerate() {
             let ((listener, alive), new) = Stand::listen(&self.runtime, Some((Instant::now(), unix)));
             *locked(work) = new;
-            self.runtime.spawn(serve(self.shared.clone(), site, server, listener, alive));
+            self.runtime.spawn(serve(self.shared.clone(), (site, server), listener, alive));
         }
     }
 
@@ -230,15 +225,16 @@
     }
 }
 
-async fn serve(
-    shared: Arc<Shared>, site: usize, server: usize, listener: TcpListener, mut alive: watch::Receiver<()>,
-) {
+/// The place of a server: its site, and its number there.
+type Place = (usize, usize);
+
+async fn serve(shared: Arc<Shared>, at: Place, listener: TcpListener, mut alive: watch::Receiver<()>) {
     loop {
         tokio::select! {
             _ = alive.changed() => return,
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    tokio::spawn(carry(shared.clone(), site, server, stream, alive.clone()));
+                    tokio::spawn(carry(shared.clone(), at, stream, alive.clone()));
                 }
             }
         }
@@ -246,12 +242,10 @@
 }
 
 /// Serves a connection until it ends, or until the site or the server resets it.
-async fn carry(
-    shared: Arc<Shared>, site: usize, server: usize, stream: TcpStream, mut alive: watch::Receiver<()>,
-) {
-    let (mut fault, reset) = (shared.faults[site].subscribe(), Notify::new());
+async fn carry(shared: Arc<Shared>, at: Place, stream: TcpStream, mut alive: watch::Receiver<()>) {
+    let (mut fault, reset) = (shared.faults[at.0].subscribe(), Notify::new());
     fault.mark_unchanged();
-    let service = service_fn(|request| answer(&shared, site, server, &reset, request));
+    let service = service_fn(|request| answer(&shared, at, &reset, request));
     let mut http =
         http1::Builder::new().timer(TokioTimer::new()).serve_connection(TokioIo::new(stream), service);
     loop {
@@ -267,7 +261,7 @@
 }
 
 async fn answer(
-    shared: &Shared, site: usize, server: usize, reset: &Notify, request: Request<Incoming>,
+    shared: &Shared, (site, server): Place, reset: &Notify, request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let now = Instant::now();
     let header = |name: &str| {
--- a/tests/site_figures.rs
+++ b/tests/site_figures.rs
@@ -42,6 +42,11 @@
     histogram.value_at_quantile(q) as f64 / 1e3
 }
 
+/// The same at three quantiles.
+fn spread(of: &Histogram<u64>) -> String {
+    format!("p50 {:.1} ms, p99 {:.1} ms, p99.9 {:.1} ms", ms(of, 0.5), ms(of, 0.99), ms(of, 0.999))
+}
+
 fn micros(time: Duration) -> u64 {
     time.as_micros() as u64
 }
@@ -53,7 +58,7 @@
 }
 
 fn state(fleet: &Fleet, site: usize) -> Option<SiteState> {
-    fleet.newest().map(|plan| plan.sites.get(SITES[site].0).copied().unwrap_or_default())
+    fleet.newest().map(|plan| state_of(&plan, site))
 }
 
 /// The busiest second of each site but one, as a part of what it can do.
@@ -71,14 +76,13 @@
 fn refused_worth(fleet: &Fleet, done: &[Done], from: Instant, to: Instant) -> (f64, f64, f64) {
     let time = to.duration_since(from).as_secs_f64();
     let here: Vec<&Done> = done.iter().filter(|d| (from..to).contains(&d.at)).collect();
-    let worth = |d: &&Done| d.ask.cost_ms * CLASSES[d.ask.class].1;
-    let refused = here.iter().copied().filter(|d| d.status == 503).map(|d| worth(&d)).sum::<f64>() / time;
-    let failed =
-        here.iter().copied().filter(|d| ![200, 503].contains(&d.status)).map(|d| worth(&d)).sum::<f64>()
-            / time;
+    let worth = |of: fn(u16) -> bool| {
+        let those = here.iter().filter(|d| of(d.status));
+        those.map(|d| d.ask.cost_ms * CLASSES[d.ask.class].1).sum::<f64>() / time
+    };
     let asked = here.iter().map(|d| d.ask.cost_ms).sum::<f64>() / time;
     let room = 0.8 * fleet.size.site_rate() * (SITES.len() - 1) as f64;
-    (refused, failed, (asked - room).max(0.0) * CLASSES[SAFE].1)
+    (worth(|s| s == 503), worth(|s| ![200, 503].contains(&s)), (asked - room).max(0.0) * CLASSES[SAFE].1)
 }
 
 fn loss_and_return(sidecars: usize) {
@@ -98,17 +102,11 @@
         plans.for_each(|age| ages.record(age * 1_000).expect("in range"));
     }
     let (after, time) = (carried(), began.elapsed().as_secs_f64() * sidecars as f64);
-    let quiet = latencies(&load.since(mark));
+    let (calls, bytes) = ((after.0 - before.0) as f64 / time, (after.1 - before.1) as f64 / time);
+    let (count, ages, quiet) = (ages.len(), spread(&ages), spread(&latencies(&load.since(mark))));
     println!(
-        "{sidecars} sidecars, nothing happens: calls {:.2} and bytes {:.0} a sidecar and second; age of the plan at \
-         the sidecars p50 {:.0} ms, p99 {:.0} ms ({} reports); traffic p50 {:.1} ms, p99 {:.1} ms",
-        (after.0 - before.0) as f64 / time,
-        (after.1 - before.1) as f64 / time,
-        ms(&ages, 0.5),
-        ms(&ages, 0.99),
-        ages.len(),
-        ms(&quiet, 0.5),
-        ms(&quiet, 0.99)
+        "{sidecars} sidecars, nothing happens: calls {calls:.2} and bytes {bytes:.0} a sidecar and second; age of \
+         the plan at the sidecars {ages} ({count} reports); traffic {quiet}"
     );
 
     // A site is lost.
@@ -131,38 +129,31 @@
         let latest = its.map(|b| b.at.duration_since(lost_at)).max().unwrap_or_default();
         last.record(micros(latest)).expect("in range");
     }
+    let (said, count) = (said.as_secs_f64(), outside.len());
+    let (most, all) = (ms(&last, 0.99) / 1e3, ms(&last, 1.0) / 1e3);
     println!(
-        "{sidecars} sidecars, a silent loss: the plan says so after {:.2} s; 99% of the {} sidecars outside send nothing \
-         new there after {:.2} s, the last after {:.2} s",
-        said.as_secs_f64(),
-        outside.len(),
-        ms(&last, 0.99) / 1e3,
-        ms(&last, 1.0) / 1e3
+        "{sidecars} sidecars, a silent loss: the plan says so after {said:.2} s; 99% of the {count} sidecars outside \
+         send nothing new there after {most:.2} s, the last after {all:.2} s"
     );
     let steady: Vec<Begun> = begun.iter().filter(|b| b.at > followed).cloned().collect();
+    let (most, steady) = (busiest(&fleet, &begun, PRAHA), busiest(&fleet, &steady, PRAHA));
     println!(
-        "{sidecars} sidecars: busiest second of a site that is left {:.2} of its capacity from the loss on, {:.2} \
-         once all go by the plan",
-        busiest(&fleet, &begun, PRAHA),
-        busiest(&fleet, &steady, PRAHA)
+        "{sidecars} sidecars: busiest second of a site that is left {most:.2} of its capacity from the loss on, \
+         {steady:.2} once all go by the plan"
     );
     // The site is still silent: what is tried there changes little.
     thread::sleep((followed + secs(14)).saturating_duration_since(Instant::now()));
     let (from, to) = (followed + secs(2), followed + secs(12));
     let (refused, failed, least) = refused_worth(&fleet, &load.since(0), from, to);
+    let all = fleet.stand.since(seen);
     let used = |site: usize| {
-        let begun = fleet
-            .stand
-            .since(seen)
-            .into_iter()
-            .filter(|b| b.ran && b.site == site && (from..to).contains(&b.at));
+        let begun = all.iter().filter(|b| b.ran && b.site == site && (from..to).contains(&b.at));
         begun.map(|b| b.cost_ms).sum::<f64>() / 10.0 / fleet.size.site_rate()
     };
+    let (plzen, brno) = (used(PLZEN), used(BRNO));
     println!(
         "{sidecars} sidecars: worth refused {refused:.0} a second and failed {failed:.0}, where {least:.0} is the least \
-         possible, over 10 s; the sites that are left are used to {:.3} and {:.3}",
-        used(PLZEN),
-        used(BRNO)
+         possible, over 10 s; the sites that are left are used to {plzen:.3} and {brno:.3}"
     );
 
     // It comes back cold.
@@ -170,11 +161,10 @@
     let (seen, back) = (fleet.stand.mark(), Instant::now());
     fleet.until("the return", secs(150), |fleet| state(fleet, PRAHA) == Some(SiteState::Serving));
     let used = fleet.stand.since(seen).iter().filter_map(|b| b.cold_use).fold(0.0, f64::max);
+    let (took, falls) = (back.elapsed().as_secs_f64(), fleet.stand.falls());
     println!(
-        "{sidecars} sidecars, the return: serving after {:.1} s; the most of its cold budget that a server used {used:.2}; \
-         {} fell over",
-        back.elapsed().as_secs_f64(),
-        fleet.stand.falls()
+        "{sidecars} sidecars, the return: serving after {took:.1} s; the most of its cold budget that a server used \
+         {used:.2}; {falls} fell over"
     );
     load.finish();
 }
@@ -195,12 +185,8 @@
         fleet.cluster.start(planner);
         fleet.cluster.serving("the instance is back");
     }
-    println!(
-        "{sidecars} sidecars, the planner killed {} times: no plan of a next one for p50 {:.2} s, p99 {:.2} s",
-        gaps.len(),
-        ms(&gaps, 0.5) / 1e3,
-        ms(&gaps, 0.99) / 1e3
-    );
+    let (count, gaps) = (gaps.len(), spread(&gaps));
+    println!("{sidecars} sidecars, the planner killed {count} times: no plan of a next one for {gaps}");
     load.finish();
 }
 
@@ -220,13 +206,8 @@
                 fleet.fronts.iter().for_each(|front| front.set(cluster::Fault::Pass));
             }
         }
-        let all = latencies(&load.since(mark));
-        println!(
-            "{sidecars} sidecars, {what} the control plane: traffic p50 {:.1} ms, p99 {:.1} ms, p99.9 {:.1} ms",
-            ms(&all, 0.5),
-            ms(&all, 0.99),
-            ms(&all, 0.999)
-        );
+        let all = spread(&latencies(&load.since(mark)));
+        println!("{sidecars} sidecars, {what} the control plane: traffic {all}");
         load.finish();
     }
 }
@@ -311,14 +292,11 @@
             |from: Instant| begun.iter().filter(|b| b.site == PRAHA && (from..ended).contains(&b.at)).count();
         let done = load.since(mark);
         let count = |status: u16| done.iter().filter(|d| d.status == status).count();
+        let (late, later, all, refused) = (there(start), there(active), done.len(), count(503));
+        let failed = all - count(200) - refused;
         println!(
-            "{sidecars} sidecars, a window of 10 s: {} requests to the site after its start, {} after the window was \
-             told active; of {} requests from the lead to the return {} refused, {} failed",
-            there(start),
-            there(active),
-            done.len(),
-            count(503),
-            done.len() - count(200) - count(503)
+            "{sidecars} sidecars, a window of 10 s: {late} requests to the site after its start, {later} after the \
+             window was told active; of {all} requests from the lead to the return {refused} refused, {failed} failed"
         );
         load.finish();
     }
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -77,10 +77,8 @@
     assert_eq!(extend(&cluster, &Value::Null).1["why"], "NotUnderWay");
     assert_eq!(settled(&cluster, "DELETE", "/fleet/windows/y", "").0, 404);
     let all = settled(&cluster, "GET", "/fleet/windows", "").1;
-    assert_eq!(
-        (all["windows"].as_array().map(Vec::len), &all["windows"][0]["state"]),
-        (Some(1), &json!("Planned"))
-    );
+    let all = all["windows"].as_array().expect("windows");
+    assert_eq!((all.len(), &all[0]["state"]), (1, &json!("Planned")));
     // One for tomorrow, and taken back.
     let day = asked("brno", now + 86_400_000, 600_000);
     assert_eq!(settled(&cluster, "PUT", "/fleet/windows/y", &day).0, 200);
