--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -13,8 +13,7 @@
     let upstream = Upstream::start(|_| ok("\u{0}the answer"));
     let sidecar = Sidecar::start(&[&upstream]);
     let call = call("report", 2.0).header("X-Call-Id", "call-x").header("Idempotency-Key", "k1");
-    let answer = sidecar.ask(&call.path("/api?x=1%20y").body("hello"));
-    assert_eq!((answer.status, answer.body.as_str()), (200, "\u{0}the answer"));
+    assert_eq!(sidecar.ask(&call.path("/api?x=1%20y").body("hello")).whole(), (200, "\u{0}the answer"));
     let seen = upstream.requests();
     assert_eq!(seen.len(), 1);
     assert_eq!((seen[0].line.as_str(), seen[0].body.as_str()), ("POST /api?x=1%20y HTTP/1.1", "hello"));
@@ -34,12 +33,7 @@
         ("half an answer", Reply::Raw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf".into())),
     ];
     for (what, reply) in may_have_run {
-        let [a, b] = [(); 2].map(|()| {
-            Upstream::start({
-                let reply = reply.clone();
-                move |_| reply.clone()
-            })
-        });
+        let [a, b] = twins(move |_| reply.clone());
         let sidecar = Sidecar::start(&[&a, &b]);
         let answer = sidecar.ask(&call("pay", 2.0));
         assert!(![200, 429, 503].contains(&answer.status), "{what}: {}", answer.status);
@@ -52,32 +46,23 @@
     for status in [503, 504] {
         // Whichever has the fifteenth turns it away; requests before it have earned it another attempt.
         let asked = Shared::default();
-        let both = [(); 2].map(|()| {
-            let asked = asked.clone();
-            Upstream::start(move |_| match asked.count() {
-                15 => Reply::text(status, "X-Rejected: 1\r\n", ""),
-                _ => ok("served"),
-            })
-        });
-        let sidecar = Sidecar::start(&[&both[0], &both[1]]);
-        for _ in 0..16 {
-            assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
-        }
+        let of = asked.clone();
+        let turned_away = Reply::text(status, "X-Rejected: 1\r\n", "");
+        let both = twins(move |_| if of.count() == 15 { turned_away.clone() } else { ok("served") });
+        let sidecar = Sidecar::start(&both.each_ref());
+        sidecar.serves(16, 2.0);
         assert_eq!(asked.count(), 18, "one was sent twice");
     }
     // Nobody listens at the other's address; a connection refused costs nothing and proves that nothing ran.
     let (up, down) = (Upstream::start(|_| ok("served")), Upstream::start(|_| ok("")));
     down.stop();
     let sidecar = Sidecar::start(&[&up, &down]);
-    for _ in 0..6 {
-        assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
-    }
+    sidecar.serves(6, 2.0);
 }
 
 #[test]
 fn a_silent_upstream_is_given_up_in_time_and_its_connection_closed_at_once() {
-    let upstream = Upstream::start(|_| Reply::Silence);
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (upstream, sidecar) = answered(|_| Reply::Silence, |_| {});
     let start = Instant::now();
     let answer = sidecar.ask(&call("pay", 0.6));
     assert!(![200, 429, 503].contains(&answer.status), "{}", answer.status);
@@ -87,8 +72,7 @@
 
 #[test]
 fn a_client_that_leaves_ends_its_attempt() {
-    let upstream = Upstream::start(|_| Reply::Silence);
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (upstream, sidecar) = answered(|_| Reply::Silence, |_| {});
     let client = sidecar.send(&call("pay", 20.0));
     upstream.wait_for("the request", |state| state.requests.len() == 1);
     drop(client);
@@ -98,9 +82,7 @@
 #[test]
 fn connections_are_kept_but_not_those_that_saw_their_end() {
     let (upstream, sidecar) = served(|_| {});
-    for _ in 0..5 {
-        assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
-    }
+    sidecar.serves(5, 2.0);
     assert_eq!(upstream.state().accepted, 1, "one connection for all");
     upstream.close_idle();
     upstream.wait_for("the sidecar to see it", |state| state.closed_by_peer == 1);
@@ -120,14 +102,8 @@
 #[test]
 fn malformed_requests_are_answered_and_go_nowhere() {
     let (upstream, sidecar) = served(|_| {});
-    let bad = [
-        call("nobody", 1.0),
-        call("pay", 1.0).header("X-Budget", "soon"),
-        call("pay", 1.0).header("X-Budget", "-1"),
-        call("pay", 1.0).header("X-Budget", "NaN"),
-    ];
-    for call in bad {
-        let answer = sidecar.ask(&call);
+    for (class, budget) in [("nobody", "1"), ("pay", "soon"), ("pay", "-1"), ("pay", "NaN")] {
+        let answer = sidecar.ask(&call(class, 1.0).header("X-Budget", budget));
         assert!((400..500).contains(&answer.status) && answer.status != 429, "{}", answer.status);
     }
     let mut client = sidecar.connect();
@@ -142,8 +118,7 @@
 #[test]
 fn what_the_application_never_sent_reaches_no_upstream_and_harms_none() {
     // As upstreams do, this one answers with an error what it can't take for a request of the application.
-    let upstream = Upstream::start(|_| Reply::text(400, "", ""));
-    let sidecar = Sidecar::start(&[&upstream]);
+    let (upstream, sidecar) = answered(|_| Reply::text(400, "", ""), |_| {});
     let padding = "p".repeat(20_000);
     let bad = [
         ("no id", call("pay", 5.0).without("X-Call-Id")),
@@ -197,32 +172,25 @@
 
 #[test]
 fn what_comes_malformed_from_an_upstream_is_a_failure_and_no_panic() {
-    for raw in [
-        "\u{1}\u{2}garbage\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nContent-Length: soon\r\n\r\n",
-        "HTTP/1.1 999\r\n\r\n",
-    ] {
-        let upstream = Upstream::start(move |_| Reply::Raw(raw.into()));
-        let sidecar = Sidecar::start(&[&upstream]);
+    let bad_length = "HTTP/1.1 200 OK\r\nContent-Length: soon\r\n\r\n";
+    for raw in ["\u{1}\u{2}garbage\r\n\r\n", bad_length, "HTTP/1.1 999\r\n\r\n"] {
+        let (_upstream, sidecar) = answered(move |_| Reply::Raw(raw.into()), |_| {});
         assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 502, "{raw}");
     }
 }
 
 #[test]
 fn the_list_is_followed_and_kept_through_failures() {
-    let [a, b] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
+    let [a, b] = twins(|_| ok("served"));
     let sidecar = Sidecar::start(&[&a, &b]);
     let served_by = |expected: &Upstream, other: &Upstream| {
         let before = other.requests().len();
-        for _ in 0..6 {
-            assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
-        }
+        sidecar.serves(6, 2.0);
         assert!(!expected.requests().is_empty());
         other.requests().len() == before
     };
     // A change: one drains.
-    sidecar.discovery.say(2, false, &[b.line("Terminating")]);
-    sidecar.discovery.wait_for_index(2);
+    sidecar.discovery.tell(2, false, &[b.line("Terminating")]);
     assert!(served_by(&a, &b), "nothing new to the one that drains");
     // Discovery answers nonsense, an error, nothing: the list held stays.
     sidecar.discovery.fail(Reply::text(200, "", "{"));
@@ -230,29 +198,25 @@
     sidecar.discovery.fail(Reply::Close);
     assert!(served_by(&a, &b));
     // And what it has to say afterwards counts.
-    sidecar.discovery.say(3, false, &[b.line("Ready"), a.line("Gone")]);
-    sidecar.discovery.wait_for_index(3);
+    sidecar.discovery.tell(3, false, &[b.line("Ready"), a.line("Gone")]);
     assert!(served_by(&b, &a));
     // A whole list of a lower revision: it has begun to count anew.
-    sidecar.discovery.say(1, true, &[a.line("Ready")]);
-    sidecar.discovery.wait_for_index(1);
+    sidecar.discovery.tell(1, true, &[a.line("Ready")]);
     assert!(served_by(&a, &b), "who is missing from a whole list is gone");
     // A change to a list older than the one held is no base: the whole list is asked for.
     sidecar.discovery.say(0, false, &[b.line("Ready")]);
-    sidecar.discovery.say(5, true, &[b.line("Ready")]);
-    sidecar.discovery.wait_for_index(5);
+    sidecar.discovery.tell(5, true, &[b.line("Ready")]);
     assert!(served_by(&b, &a));
 }
 
 #[test]
 fn an_upstream_whose_address_changes_is_found_at_the_new_one() {
-    let [old, new] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
+    let [old, new] = twins(|_| ok("served"));
     let sidecar = Sidecar::start(&[&old]);
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
     let mut line = old.line("Ready");
     line["host_port"] = json!(new.addr.to_string());
-    sidecar.discovery.say(2, false, &[line]);
-    sidecar.discovery.wait_for_index(2);
+    sidecar.discovery.tell(2, false, &[line]);
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
     assert_eq!((old.requests().len(), new.requests().len()), (1, 1));
     old.wait_for("the kept connection to close", |state| state.closed_by_peer == 1);
@@ -262,10 +226,7 @@
 fn the_next_watch_comes_at_once_and_names_the_revision_held() {
     let (upstream, sidecar) = served(|_| {});
     // The shortest of several waits: a busy machine may delay some, a pause of the sidecar's own would all.
-    let waits = (2..8).map(|revision| {
-        sidecar.discovery.say(revision, false, &[upstream.line("Ready")]);
-        sidecar.discovery.wait_for_index(revision)
-    });
+    let waits = (2..8).map(|revision| sidecar.discovery.tell(revision, false, &[upstream.line("Ready")]));
     let shortest = waits.min().expect("some");
     assert!(shortest < Duration::from_millis(150), "{shortest:?}");
 }
@@ -324,30 +285,23 @@
 
 #[test]
 fn what_discovery_is_asked_for_is_watched_once_the_module_subscribes() {
-    let [a, b] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
+    let [a, b] = twins(|_| ok("served"));
     let sidecar = Sidecar::with(&[&a], |config| {
         config["settings"]["discovery"] = json!("on_request");
         config["settings"]["obligations"] = json!({"mustAskIn": 200.0});
     });
-    sidecar.discovery.say(2, true, &[b.line("Ready")]);
-    sidecar.discovery.wait_for_index(2);
+    sidecar.discovery.tell(2, true, &[b.line("Ready")]);
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
     assert_eq!(b.requests().len(), 1);
 }
 
 #[test]
 fn a_quiet_sidecar_asks_upstreams_for_their_load_first() {
-    let many: Vec<Upstream> = (0..6)
-        .map(|i| {
-            Upstream::start(move |request| match request.line.as_str() {
-                "GET /stats HTTP/1.1" => {
-                    ok(&format!("{{\"depth\":0,\"concurrent\":{}}}", if i == 0 { 0 } else { 9 }))
-                }
-                _ => ok("served"),
-            })
-        })
-        .collect();
-    let sidecar = Sidecar::with(&many.iter().collect::<Vec<_>>(), |config| {
+    let many = [0, 9, 9, 9, 9, 9].map(|concurrent| {
+        let load = json!({"depth": 0, "concurrent": concurrent}).to_string();
+        Upstream::start(move |seen| ok(if seen.line == "GET /stats HTTP/1.1" { &load } else { "served" }))
+    });
+    let sidecar = Sidecar::with(&many.each_ref(), |config| {
         config["settings"]["policyLimits"]["probes"] = json!(true);
         config["settings"]["report"] = json!({"how": "on_probe", "fields": ["depth", "concurrent"]});
     });
@@ -359,15 +313,12 @@
 
 #[test]
 fn a_cold_upstream_gets_little_also_from_a_sidecar_that_has_just_started() {
-    let [warm, cold] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
-    let now =
-        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock").as_millis();
+    let [warm, cold] = twins(|_| ok("served"));
+    let now = std::time::UNIX_EPOCH.elapsed().expect("a clock").as_millis();
     let sidecar = Sidecar::with(&[&warm, &cold], |config| {
         config["known"]["members"][1]["up_since_ms"] = json!(now as u64);
     });
-    for _ in 0..60 {
-        assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
-    }
+    sidecar.serves(60, 2.0);
     assert!(cold.requests().len() < 20, "{}", cold.requests().len());
 }
 
@@ -390,18 +341,14 @@
     for (other_cell, status, sent) in [(0, 200, 17), (1, 502, 16)] {
         // Whichever has the sixteenth breaks the connection; those before have earned it another attempt.
         let asked = Shared::default();
-        let both = [(); 2].map(|()| {
-            let asked = asked.clone();
-            Upstream::start(move |_| if asked.count() == 16 { Reply::Close } else { ok("served") })
-        });
-        let sidecar = Sidecar::with(&[&both[0], &both[1]], |config| {
+        let both = twins(move |_| if asked.count() == 16 { Reply::Close } else { ok("served") });
+        let sidecar = Sidecar::with(&both.each_ref(), |config| {
             config["known"]["members"][1]["cell"] = json!(other_cell);
         });
-        for _ in 0..15 {
-            assert_eq!(sidecar.ask(&call("report", 2.0).header("Idempotency-Key", "k")).status, 200);
+        for status in [[200; 15].as_slice(), &[status]].concat() {
+            let call = call("report", 2.0).header("Idempotency-Key", "k");
+            assert_eq!(sidecar.ask(&call).status, status, "cell {other_cell}");
         }
-        let last = call("report", 2.0).header("Idempotency-Key", "k");
-        assert_eq!(sidecar.ask(&last).status, status, "cell {other_cell}");
         assert_eq!(both[0].requests().len() + both[1].requests().len(), sent, "cell {other_cell}");
     }
 }
@@ -411,8 +358,7 @@
     let (upstream, sidecar) = served(|config| {
         config["settings"]["requestClasses"][0]["aim"] = json!(400.0);
     });
-    sidecar.discovery.say(2, true, &[upstream.line("Terminating")]);
-    sidecar.discovery.wait_for_index(2);
+    sidecar.discovery.tell(2, true, &[upstream.line("Terminating")]);
     let start = Instant::now();
     let answer = sidecar.ask(&call("pay", 60.0));
     let retry_after: f64 = answer.header("retry-after").expect("advice").parse().expect("seconds");
@@ -436,7 +382,7 @@
 #[test]
 fn at_sighup_discovery_is_followed_at_the_address_that_the_file_names_now() {
     for mode in ["pushed", "on_request"] {
-        let [a, b] = [(); 2].map(|()| Upstream::start(|_| ok("served")));
+        let [a, b] = twins(|_| ok("served"));
         let mut sidecar = Sidecar::with(&[&a], |config| {
             config["settings"]["discovery"] = json!(mode);
             // Asked for seldom enough that only the move can be why it is asked.
@@ -454,8 +400,7 @@
             assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200, "{mode}");
         }
         assert_eq!((a.requests().len(), b.requests().len()), (2, 4), "{mode}");
-        sidecar.discovery.say(1, false, &[b.line("Terminating"), a.line("Ready")]);
-        sidecar.discovery.wait_for_index(1);
+        sidecar.discovery.tell(1, false, &[b.line("Terminating"), a.line("Ready")]);
         assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200, "{mode}");
         assert_eq!(a.requests().len(), 3, "{mode}: and what it has to say afterwards");
     }
