--- a/tests/site/stand.rs
+++ b/tests/site/stand.rs
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
 use tokio::sync::{Notify, oneshot, watch};
@@ -127,9 +127,7 @@
         let got: f64 = self.recent.iter().map(|(_, cost)| cost).sum();
         let bound = FALL_MULTIPLE * warmth * CORES as f64 * FALL_WINDOW.as_millis() as f64;
         let cold_use = (warmth < 1.0).then_some(got / bound);
-        if cold_use.is_some_and(|used| used > 1.0) {
-            self.fell = true;
-        }
+        self.fell |= cold_use.is_some_and(|used| used > 1.0);
         while self.holds.front().is_some_and(|end| *end <= now) {
             self.holds.pop_front();
         }
@@ -151,23 +149,18 @@
         let handle = runtime.handle().clone();
         let (alive, ended) = oneshot::channel::<()>();
         let mut listeners = Vec::new();
-        let servers = (0..sites)
-            .map(|site| {
-                let servers = 0..servers;
-                servers
-                    .map(|server| {
-                        let (listener, work) = Stand::listen(&handle, None);
-                        listeners.push((site, server, listener));
-                        Mutex::new(work)
-                    })
-                    .collect()
-            })
-            .collect();
+        let mut start = |site: usize, server: usize| {
+            let (listener, work) = Stand::listen(&handle, None);
+            listeners.push(((site, server), listener));
+            Mutex::new(work)
+        };
+        let servers =
+            (0..sites).map(|site| (0..servers).map(|server| start(site, server)).collect()).collect();
         let faults = (0..sites).map(|_| watch::Sender::new(SiteFault::Up)).collect();
         let (extra, log, falls) = Default::default();
         let shared = Arc::new(Shared { ramp, faults, servers, extra, log, falls });
-        for (site, server, (listener, alive)) in listeners {
-            handle.spawn(serve(shared.clone(), site, server, listener, alive));
+        for (place, (listener, alive)) in listeners {
+            handle.spawn(serve(shared.clone(), place, listener, alive));
         }
         thread::spawn(move || runtime.block_on(ended));
         Stand { shared, runtime: handle, _alive: alive }
@@ -208,11 +201,11 @@
     /// Every server of a site starts anew, on a port of its own, cold; what was open there ends.
     pub fn restart_cold(&self, site: usize) {
         self.set(site, SiteFault::Up);
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64;
+        let unix = super::unix_ms();
         for (server, work) in self.shared.servers[site].iter().enumerate() {
             let ((listener, alive), new) = Stand::listen(&self.runtime, Some((Instant::now(), unix)));
             *locked(work) = new;
-            self.runtime.spawn(serve(self.shared.clone(), site, server, listener, alive));
+            self.runtime.spawn(serve(self.shared.clone(), (site, server), listener, alive));
         }
     }
 
@@ -232,15 +225,16 @@
     }
 }
 
-async fn serve(
-    shared: Arc<Shared>, site: usize, server: usize, listener: TcpListener, mut alive: watch::Receiver<()>,
-) {
+/// The place of a server: its site, and its number there.
+type Place = (usize, usize);
+
+async fn serve(shared: Arc<Shared>, at: Place, listener: TcpListener, mut alive: watch::Receiver<()>) {
     loop {
         tokio::select! {
             _ = alive.changed() => return,
             accepted = listener.accept() => {
                 if let Ok((stream, _)) = accepted {
-                    tokio::spawn(carry(shared.clone(), site, server, stream, alive.clone()));
+                    tokio::spawn(carry(shared.clone(), at, stream, alive.clone()));
                 }
             }
         }
@@ -248,12 +242,10 @@
 }
 
 /// Serves a connection until it ends, or until the site or the server resets it.
-async fn carry(
-    shared: Arc<Shared>, site: usize, server: usize, stream: TcpStream, mut alive: watch::Receiver<()>,
-) {
-    let (mut fault, reset) = (shared.faults[site].subscribe(), Notify::new());
+async fn carry(shared: Arc<Shared>, at: Place, stream: TcpStream, mut alive: watch::Receiver<()>) {
+    let (mut fault, reset) = (shared.faults[at.0].subscribe(), Notify::new());
     fault.mark_unchanged();
-    let service = service_fn(|request| answer(&shared, site, server, &reset, request));
+    let service = service_fn(|request| answer(&shared, at, &reset, request));
     let mut http =
         http1::Builder::new().timer(TokioTimer::new()).serve_connection(TokioIo::new(stream), service);
     loop {
@@ -269,7 +261,7 @@
 }
 
 async fn answer(
-    shared: &Shared, site: usize, server: usize, reset: &Notify, request: Request<Incoming>,
+    shared: &Shared, (site, server): Place, reset: &Notify, request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let now = Instant::now();
     let header = |name: &str| {
@@ -278,14 +270,15 @@
     };
     let (from, tenant) = (header("x-test-site"), header("x-caller"));
     let cost_ms = header("x-call-cost").parse::<f64>().map_or(COST_MS, |us| us / 1e3);
-    let heard = |from: &str| match *shared.faults[site].borrow() {
+    let at_home = from == super::SITES[site].0;
+    let heard = || match *shared.faults[site].borrow() {
         SiteFault::Up => true,
-        SiteFault::CutFromOthers => from == super::SITES[site].0,
+        SiteFault::CutFromOthers => at_home,
         SiteFault::Silent | SiteFault::Loud => false,
     };
     let (class, id) = (header("x-call-class"), header("x-call-id"));
     let (mut done, mut cold_use, mut fell) = (Some(now), None, false);
-    if heard(&from) {
+    if heard() {
         let mut work = locked(&shared.servers[site][server]);
         let fallen = work.fell;
         (done, cold_use) = work.take(now, cost_ms, shared.ramp);
@@ -294,25 +287,19 @@
             *locked(&shared.falls) += 1;
         }
     }
-    let ran = done.is_some();
-    let tenant_key = tenant.clone();
-    locked(&shared.log).push(Begun {
-        at: now,
-        site,
-        server,
-        from: from.clone(),
-        tenant,
-        class,
-        id,
-        cost_ms,
-        ran,
-        cold_use,
-    });
+    let (at, ran) = (now, done.is_some());
+    let extra = {
+        let extra = locked(&shared.extra);
+        let of = |tenant: &str| extra.get(&(site, tenant.to_owned())).copied().unwrap_or_default();
+        of("") + of(&tenant)
+    };
+    let begun = Begun { at, site, server, from, tenant, class, id, cost_ms, ran, cold_use };
+    locked(&shared.log).push(begun);
     if fell || *shared.faults[site].borrow() == SiteFault::Loud {
         reset.notify_one();
         return pending().await;
     }
-    if !heard(&from) {
+    if !heard() {
         return pending().await;
     }
     let _ = request.into_body().collect().await;
@@ -320,13 +307,8 @@
         let response = Response::builder().status(StatusCode::SERVICE_UNAVAILABLE).header("X-Rejected", "1");
         return Ok(response.body(Full::new(Bytes::new())).expect("an answer"));
     };
-    let extra = {
-        let extra = locked(&shared.extra);
-        let of = |tenant: &str| extra.get(&(site, tenant.to_owned())).copied().unwrap_or_default();
-        of("") + of(&tenant_key)
-    };
     sleep(done.saturating_duration_since(Instant::now()) + extra).await;
-    if !heard(&from) {
+    if !heard() {
         return pending().await;
     }
     Ok(Response::new(Full::new(Bytes::from_static(b"served"))))
