Tests: a quiet sidecar's second probe is waited for before both are counted

The request goes out when one of two probes has answered; on a loaded machine the count was read before the other upstream had noted its own (1 of 64 runs, 16 at a time). The assertion is as it was.

--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -308,6 +308,8 @@
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
     let count =
         |line: &str| many.iter().flat_map(|u| u.requests()).filter(|r| r.line.starts_with(line)).count();
+    // The better of the two may have answered the request before the other was heard to have been asked.
+    wait("both to be asked", || count("GET /stats") >= 2);
     assert_eq!((count("GET /stats"), count("POST /api")), (2, 1));
 }
 
