Fleet: a plan's end is told by nobody and asked by nobody

Held::acts_until had no caller: the sidecar hands the plan over with the instant at which it ends. The tests of the plan pass without it; nothing that run uses has changed.

--- a/src/fleet/plan.rs
+++ b/src/fleet/plan.rs
@@ -132,11 +132,6 @@
         let (plan, since) = self.plan.as_ref()?;
         self.acting(now_ms).map(|_| (plan.mark, now_ms.saturating_sub(*since)))
     }
-
-    /// When the plan held stops acting, in ms.
-    pub fn acts_until(&self) -> Option<u64> {
-        self.plan.as_ref().map(|(plan, since)| since + plan.valid_ms)
-    }
 }
 
 #[cfg(test)]
