--- a/src/api.rs
+++ b/src/api.rs
@@ -42,9 +42,9 @@
 
 /// Whether a request of a class may run again.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Repeat {
+pub enum Idempotency {
     /// At any time, anywhere.
-    Safe,
+    Idempotent,
     /// Inside the group, for so long after the first attempt that may have run.
     Keyed {
         /// Who drops the repeat.
@@ -53,7 +53,7 @@
         window: Duration,
     },
     /// Only when every earlier attempt is known not to have run.
-    Unsafe,
+    NonIdempotent,
 }
 
 /// A class of requests.
@@ -70,7 +70,7 @@
     /// The share of the worth that an answer after the aim earns.
     pub late_worth: f64,
     /// Whether it may run again.
-    pub repeat: Repeat,
+    pub idempotency: Idempotency,
 }
 
 /// What worth is counted by.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -296,8 +296,8 @@
     /// The final answer of our own: a refusal where it is true that nothing ran, else a failure.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let request = &self.requests[&id];
-        let harmless = match self.settings.classes[request.job.class].repeat {
-            Repeat::Safe | Repeat::Keyed { group: Group::All, .. } => true,
+        let harmless = match self.settings.classes[request.job.class].idempotency {
+            Idempotency::Idempotent | Idempotency::Keyed { group: Group::All, .. } => true,
             _ => request.may_have_run().is_none(),
         };
         let retry_after = self.advice(&request.job);
@@ -346,7 +346,7 @@
         let price = if chosen.health == Health::Good { 0.0 } else { 1.0 };
         self.trials = (self.trials - price).max(0.0);
         let scale = self.scale(&job) / self.fit(chosen, job.class);
-        let group = chosen.group(self.settings.classes[job.class].repeat);
+        let group = chosen.group(self.settings.classes[job.class].idempotency);
         let (fate, late) = (Fate::Out, false);
         self.launch(id, attempt, Attempt { server, group, sent, timeout, scale, held, fate, late });
         out.push(Action::Send { id, server, timeout: duration(timeout) });
@@ -407,8 +407,8 @@
         let request = &self.requests[&id];
         let (job, looks) = (request.job, request.looks);
         let Some(group) = self.allowed(request) else { return self.give_up(id, out) };
-        let repeat = self.settings.classes[job.class].repeat;
-        let in_group = |s: &Server| group.is_none() || s.group(repeat) == group;
+        let idempotency = self.settings.classes[job.class].idempotency;
+        let in_group = |s: &Server| group.is_none() || s.group(idempotency) == group;
         let fits = |s: &&Server| self.in_use(s) && in_group(s) && self.is_let(request, group, s.line.zone);
         let well = |c: &(ServerId, Sight)| self.servers.get(&c.0).filter(|_| c.1 == Sight::Well).filter(fits);
         let well: Vec<ServerId> = request.candidates.iter().filter_map(well).map(|s| s.line.server).collect();
@@ -441,12 +441,12 @@
             return None;
         }
         let soon = self.now + ms(self.settings.tick);
-        match (self.settings.classes[request.job.class].repeat, request.may_have_run()) {
-            (_, None) | (Repeat::Safe, _) => Some(None),
-            (Repeat::Keyed { window, .. }, Some(first)) => {
+        match (self.settings.classes[request.job.class].idempotency, request.may_have_run()) {
+            (_, None) | (Idempotency::Idempotent, _) => Some(None),
+            (Idempotency::Keyed { window, .. }, Some(first)) => {
                 (soon < first.sent + ms(window)).then_some(first.group)
             }
-            (Repeat::Unsafe, Some(_)) => None,
+            (Idempotency::NonIdempotent, Some(_)) => None,
         }
     }
 
@@ -459,9 +459,9 @@
             return self.draw_by(&plan, id, group, draws);
         }
         let class = request.job.class;
-        let repeat = self.settings.classes[class].repeat;
+        let idempotency = self.settings.classes[class].idempotency;
         let may = |s: &Server| self.may(request, group, s);
-        let healthy = |s: &Server| self.is_healthy(repeat, s);
+        let healthy = |s: &Server| self.is_healthy(idempotency, s);
         // Where crossing zones has a price, the draw keeps to those at home unlikely to miss the aim:
         // by Chebyshev's bound a miss is no likelier than (mean ÷ aim)², and while that is under the price,
         // crossing cannot pay. The average is a peak where a server is met often, hence the factor.
@@ -503,15 +503,15 @@
         // even share is drawn to it, and a fleet that is not overloaded has room for the even share.
         let open = self.settings.slow_start.fall_multiple / 2.0;
         let in_group = group.is_none() || {
-            let repeat = self.settings.classes[request.job.class].repeat;
-            server.group(repeat) == group
+            let idempotency = self.settings.classes[request.job.class].idempotency;
+            server.group(idempotency) == group
         };
         in_group && !request.knows(server.line.server) && request.lot < self.warmth(server) * open
     }
 
     /// Re-entry is by a single trial, and never with a request that has only one attempt.
-    pub(crate) fn is_healthy(&self, repeat: Repeat, server: &Server) -> bool {
-        let trial = repeat != Repeat::Unsafe && self.trials >= 1.0;
+    pub(crate) fn is_healthy(&self, idempotency: Idempotency, server: &Server) -> bool {
+        let trial = idempotency != Idempotency::NonIdempotent && self.trials >= 1.0;
         server.health == Health::Good || trial && server.is_due(self.now)
     }
 
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -19,7 +19,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use micapier::api::{Origin, Repeat};
+use micapier::api::{Idempotency, Origin};
 use micapier::names::flat_name;
 use std::collections::HashSet;
 use std::convert::Infallible;
@@ -270,8 +270,8 @@
         let class = self.config.surroundings.classes.iter().position(|name| Some(name) == class.as_ref());
         let class = class.ok_or(bad("no such class"))?;
         let budget = seconds(&head.headers, "x-budget").ok_or(bad("no readable budget"))?;
-        let repeat = self.config.settings.classes.get(class).ok_or(bad("no such class"))?.repeat;
-        check(&head, repeat)?;
+        let idempotency = self.config.settings.classes.get(class).ok_or(bad("no such class"))?.idempotency;
+        check(&head, idempotency)?;
         let cost = text(&head.headers, "x-call-cost").and_then(|us| us.trim().parse::<f64>().ok());
         let cost = cost.and_then(|us| Duration::try_from_secs_f64(us / 1e6).ok());
         let again = text(&head.headers, "x-again") == Some("1");
@@ -286,7 +286,9 @@
             Intake::new(body, patience).read(|bytes| self.budget.take(bytes)).await.map_err(improper)?;
         // A client's time runs from its last byte.
         let since = Instant::now();
-        if repeat == Repeat::Safe && !matches!(&body, RequestBody::Held(bytes) if bytes.is_empty()) {
+        if idempotency == Idempotency::Idempotent
+            && !matches!(&body, RequestBody::Held(bytes) if bytes.is_empty())
+        {
             return Err(bad("a body where the class has none"));
         }
         let id = head.headers.get("x-call-id").filter(|id| !id.is_empty()).ok_or(bad("no id"))?;
@@ -319,13 +321,13 @@
 }
 
 /// Is this head one that the application sends for a request that may be repeated so?
-fn check(head: &Parts, repeat: Repeat) -> Result<(), Improper> {
+fn check(head: &Parts, idempotency: Idempotency) -> Result<(), Improper> {
     let key = head.headers.get("idempotency-key").is_some_and(|key| !key.is_empty());
-    if head.method != if repeat == Repeat::Safe { Method::GET } else { Method::POST } {
+    if head.method != if idempotency == Idempotency::Idempotent { Method::GET } else { Method::POST } {
         return Err((StatusCode::BAD_REQUEST, "not the method of the class"));
     }
     // Guards against repeating what no upstream could tell from the first.
-    if matches!(repeat, Repeat::Keyed { .. }) && !key {
+    if matches!(idempotency, Idempotency::Keyed { .. }) && !key {
         return Err((StatusCode::BAD_REQUEST, "no key"));
     }
     Ok(())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,7 +21,7 @@
 //!     aim_stretch: 0.0,
 //!     worth: 1.0,
 //!     late_worth: 0.5,
-//!     repeat: Repeat::Safe,
+//!     idempotency: Idempotency::Idempotent,
 //! };
 //! let settings = Settings { classes: vec![class], cancel: Permit::Granted, ..Settings::default() };
 //! let mut balancer = Balancer::new(settings, 42);
--- a/src/memory_tests.rs
+++ b/src/memory_tests.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 fn settings() -> Settings {
-    let repeat = Repeat::Safe;
+    let idempotency = Idempotency::Idempotent;
     let (aim, deadline) = (Duration::from_millis(400), Duration::from_millis(1_200));
-    let class = Class { aim, deadline, aim_stretch: 0.0, worth: 1.0, late_worth: 0.3, repeat };
+    let class = Class { aim, deadline, aim_stretch: 0.0, worth: 1.0, late_worth: 0.3, idempotency };
     let discovery = Discovery::OnRequest { must_ask_in: Duration::from_secs(10) };
     Settings { classes: vec![class], cancel: Permit::Granted, discovery, ..Settings::default() }
 }
--- a/src/route.rs
+++ b/src/route.rs
@@ -28,7 +28,7 @@
         if group.is_some() {
             return !plan.is_shut(zone);
         }
-        let safe = self.settings.classes[request.job.class].repeat == Repeat::Safe;
+        let safe = self.settings.classes[request.job.class].idempotency == Idempotency::Idempotent;
         plan.is_open(zone) && (safe && request.attempts.is_empty() || !plan.is_on_trial(zone))
     }
 
@@ -77,10 +77,10 @@
     fn first_two(
         &self, request: &Request, group: Option<u16>, of: &[ServerId], draws: [usize; DRAWS],
     ) -> Option<[ServerId; 2]> {
-        let repeat = self.settings.classes[request.job.class].repeat;
+        let idempotency = self.settings.classes[request.job.class].idempotency;
         let (own, part) = (self.own_start(of), self.subset().min(of.len()));
         let drawn = draws.into_iter().filter(|_| part > 0).map(|draw| of[(own + draw % part) % of.len()]);
-        let fits = |s: &Server| self.may_by(request, group, s) && self.is_healthy(repeat, s);
+        let fits = |s: &Server| self.may_by(request, group, s) && self.is_healthy(idempotency, s);
         let mut fitting = drawn.filter(|id| self.servers.get(id).is_some_and(fits));
         let first = fitting.next()?;
         Some([first, fitting.find(|id| *id != first)?])
@@ -140,8 +140,8 @@
     fn pool(
         &self, plan: &Route, request: &Request, group: Option<u16>, of: &[ServerId], chance: f64,
     ) -> Vec<ServerId> {
-        let repeat = self.settings.classes[request.job.class].repeat;
-        let fits = |s: &Server| self.may_by(request, group, s) && self.is_healthy(repeat, s);
+        let idempotency = self.settings.classes[request.job.class].idempotency;
+        let fits = |s: &Server| self.may_by(request, group, s) && self.is_healthy(idempotency, s);
         let budget = |s: &Server| {
             let warmth = self.warmth(s);
             plan.cold_share().filter(|_| warmth < 1.0).map(|share| share * s.line.weight.max(1.0) * warmth)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -115,13 +115,13 @@
         "cell" => Some(Group::Cell),
         _ => None,
     };
-    let repeat = match pairs.need(&key("idempotency"), |text| Some(text.to_owned()))?.as_str() {
-        "retryable" => Repeat::Safe,
-        "dedup" => Repeat::Keyed {
+    let idempotency = match pairs.need(&key("idempotency"), |text| Some(text.to_owned()))?.as_str() {
+        "retryable" => Idempotency::Idempotent,
+        "dedup" => Idempotency::Keyed {
             group: pairs.need(&key("group"), group)?,
             window: pairs.need(&key("dedupWindow"), time)?,
         },
-        "fragile" => Repeat::Unsafe,
+        "fragile" => Idempotency::NonIdempotent,
         other => {
             let problem = format!("cannot read {other:?}");
             return Err(SettingError { key: key("idempotency"), problem });
@@ -133,7 +133,7 @@
         aim_stretch: pairs.number(&key("aimStretch"), 0.0)?,
         worth: pairs.number(&key("points"), 1.0)?,
         late_worth: pairs.number(&key("lateWorth"), 0.0)?,
-        repeat,
+        idempotency,
     })
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -79,10 +79,10 @@
     }
 
     /// What marks the servers that drop repeats of a class's requests together with this one.
-    pub fn group(&self, repeat: Repeat) -> Option<u16> {
-        match repeat {
-            Repeat::Keyed { group: Group::Zone, .. } => Some(self.line.zone),
-            Repeat::Keyed { group: Group::Cell, .. } => Some(self.line.cell),
+    pub fn group(&self, idempotency: Idempotency) -> Option<u16> {
+        match idempotency {
+            Idempotency::Keyed { group: Group::Zone, .. } => Some(self.line.zone),
+            Idempotency::Keyed { group: Group::Cell, .. } => Some(self.line.cell),
             _ => None,
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -8,8 +8,8 @@
     Duration::from_millis(ms)
 }
 
-pub fn class(repeat: Repeat) -> Class {
-    Class { aim: ms(400), deadline: ms(1_200), aim_stretch: 0.0, worth: 1.0, late_worth: 0.3, repeat }
+pub fn class(idempotency: Idempotency) -> Class {
+    Class { aim: ms(400), deadline: ms(1_200), aim_stretch: 0.0, worth: 1.0, late_worth: 0.3, idempotency }
 }
 
 pub fn settings(classes: Vec<Class>) -> Settings {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -5,19 +5,19 @@
 use micapier::{Balancer, api::*};
 use std::collections::BTreeSet;
 
-const SAFE: Repeat = Repeat::Safe;
+const SAFE: Idempotency = Idempotency::Idempotent;
 const ON_REQUEST: Discovery = Discovery::OnRequest { must_ask_in: std::time::Duration::from_secs(10) };
 
-fn keyed(group: Group) -> Repeat {
-    Repeat::Keyed { group, window: ms(800) }
+fn keyed(group: Group) -> Idempotency {
+    Idempotency::Keyed { group, window: ms(800) }
 }
 
 fn listed(n: u64) -> Vec<Listed> {
     (1..=n).map(line).collect()
 }
 
-fn rig(repeat: Repeat, servers: u64) -> Rig {
-    Rig::new(settings(vec![class(repeat)]), listed(servers))
+fn rig(idempotency: Idempotency, servers: u64) -> Rig {
+    Rig::new(settings(vec![class(idempotency)]), listed(servers))
 }
 
 /// The second half of the list is in another zone than the sidecar, and crossing costs a little.
@@ -140,12 +140,14 @@
 
 #[test]
 fn a_time_out_at_the_deadline_is_followed_by_the_final_answer() {
-    for (repeat, refuses) in [(SAFE, true), (keyed(Group::Cell), false), (Repeat::Unsafe, false)] {
-        let mut rig = rig(repeat, 1);
+    for (idempotency, refuses) in
+        [(SAFE, true), (keyed(Group::Cell), false), (Idempotency::NonIdempotent, false)]
+    {
+        let mut rig = rig(idempotency, 1);
         let (id, _) = rig.ask();
         rig.wait(1_200);
         let said = rig.end(id, 0, Outcome::Timeout, 1_200);
-        assert_eq!((refused(&said), failed(&said)), (refuses, !refuses), "{repeat:?}");
+        assert_eq!((refused(&said), failed(&said)), (refuses, !refuses), "{idempotency:?}");
     }
 }
 
@@ -164,13 +166,13 @@
 #[test]
 fn an_unsafe_request_is_repeated_only_if_it_never_ran() {
     for outcome in [Outcome::Error, Outcome::Timeout, Outcome::Reset, Outcome::Cancelled] {
-        let mut rig = rig(Repeat::Unsafe, 3);
+        let mut rig = rig(Idempotency::NonIdempotent, 3);
         let (id, _) = rig.ask();
         let said = rig.end(id, 0, outcome, 30);
         assert!(failed(&said) && sent(&said).is_none() && !refused(&said), "{outcome:?}");
     }
     for outcome in [Outcome::Full, Outcome::ConnectFailed] {
-        let mut rig = rig(Repeat::Unsafe, 3).after(20, 30);
+        let mut rig = rig(Idempotency::NonIdempotent, 3).after(20, 30);
         let (id, first) = rig.ask();
         let again = sent(&rig.end(id, 0, outcome, 1));
         assert!(again.is_some() && again != sent(&first), "{outcome:?}");
@@ -343,7 +345,7 @@
 
 #[test]
 fn when_all_fail_all_stay_in_use() {
-    let mut rig = rig(Repeat::Unsafe, 4);
+    let mut rig = rig(Idempotency::NonIdempotent, 4);
     for _ in 0..60 {
         let (id, said) = rig.ask();
         assert!(sent(&said).is_some());
@@ -390,7 +392,7 @@
 
 #[test]
 fn late_attempts_narrow_the_window_before_they_end() {
-    let mut rig = rig(Repeat::Unsafe, 4);
+    let mut rig = rig(Idempotency::NonIdempotent, 4);
     // Eight are sent on trust; none answers within its aim.
     assert_eq!(rig.sent_of(40), 8);
     let said = rig.wait(450);
@@ -418,7 +420,7 @@
 #[test]
 fn one_slow_server_narrows_no_window_but_a_slow_fleet_does() {
     // Guards against incident page5268: while one server of ten was slow, a tenth of the requests was refused.
-    let mut rig = rig(Repeat::Unsafe, 8);
+    let mut rig = rig(Idempotency::NonIdempotent, 8);
     assert_eq!(refused_of_a_stream(&mut rig, 3_000, |_| 50), 0);
     let refused = refused_of_a_stream(&mut rig, 6_000, |s| if s == ServerId(1) { 600 } else { 50 });
     assert!(refused < 120, "{refused} of 1200, while the first answers show which it is");
@@ -725,7 +727,7 @@
 
 #[test]
 fn servers_that_turn_requests_away_narrow_the_window() {
-    let mut rig = rig(Repeat::Unsafe, 1).after(60, 20);
+    let mut rig = rig(Idempotency::NonIdempotent, 1).after(60, 20);
     let before = rig.sent_of(60);
     (60..120).for_each(|id| drop(rig.end(RequestId(id), 0, Outcome::Full, 1)));
     rig.wait(1_000);
@@ -787,7 +789,8 @@
 
 #[test]
 fn trials_grow_rarer_and_are_never_of_an_unsafe_class() {
-    let mut rig = Rig::new(settings(vec![class(SAFE), class(Repeat::Unsafe)]), listed(4)).after(40, 20);
+    let mut rig =
+        Rig::new(settings(vec![class(SAFE), class(Idempotency::NonIdempotent)]), listed(4)).after(40, 20);
     while !rig.noted(Note::Ejected(ServerId(1))) {
         sends_to_the_ejected(&mut rig, 20, 0);
     }
@@ -821,7 +824,7 @@
 /// One of a hundred sidecars, which may probe.
 fn probing(servers: u64) -> Rig {
     let (probes, instances) = (Permit::Granted, 100);
-    let settings = Settings { probes, instances, ..settings(vec![class(Repeat::Unsafe)]) };
+    let settings = Settings { probes, instances, ..settings(vec![class(Idempotency::NonIdempotent)]) };
     Rig::new(settings, listed(servers))
 }
 
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -20,8 +20,13 @@
 /// every outcome. `plans` are told `Event::Plan(None)` now and then.
 fn fingerprint(seed: u64, probes: Permit, plans: bool) -> u64 {
     let window = ms(800);
-    let keyed = |group| class(Repeat::Keyed { group, window });
-    let classes = vec![class(Repeat::Safe), keyed(Group::Zone), keyed(Group::Cell), class(Repeat::Unsafe)];
+    let keyed = |group| class(Idempotency::Keyed { group, window });
+    let classes = vec![
+        class(Idempotency::Idempotent),
+        keyed(Group::Zone),
+        keyed(Group::Cell),
+        class(Idempotency::NonIdempotent),
+    ];
     let price = if seed.is_multiple_of(2) { 0.02 } else { 0.0 };
     let settings = Settings { probes, cross_zone_price: price, zone: 1, ..settings(classes) };
     let (mut balancer, mut rng) = (Balancer::new(settings, seed), fastrand::Rng::with_seed(seed));
@@ -128,8 +133,8 @@
 
 /// `each` servers in each of three zones; the sidecar is in the first. A server's zone is its id by 100.
 fn rig(each: u64, plan: &Plan) -> Rig {
-    let keyed = Repeat::Keyed { group: Group::Zone, window: ms(800) };
-    let settings = settings([Repeat::Safe, keyed, Repeat::Unsafe].map(class).to_vec());
+    let keyed = Idempotency::Keyed { group: Group::Zone, window: ms(800) };
+    let settings = settings([Idempotency::Idempotent, keyed, Idempotency::NonIdempotent].map(class).to_vec());
     let of = |zone: u64| (0..each).map(move |n| Listed { zone: zone as u16, ..line(zone * 100 + n) });
     let mut rig = Rig::new(settings, (0..3).flat_map(of).collect());
     rig.tell(told(plan));
@@ -282,7 +287,8 @@
         let started = |n: u64| (n >= warm_there).then(|| ms(20_000 - 2_000 * (n % 4)));
         let weight = |n: u64| if n == 9 { 2.0 } else { 1.0 };
         for sidecar in 0..5_u32 {
-            let settings = Settings { instances: 5, number: sidecar, ..settings(vec![class(Repeat::Safe)]) };
+            let settings =
+                Settings { instances: 5, number: sidecar, ..settings(vec![class(Idempotency::Idempotent)]) };
             let mut plan = shared(&[("a", 1.0 - share_of_b), ("b", share_of_b)]);
             plan.cold_share = Some(COLD_SHARE);
             let of_b = |n| Listed { zone: 1, started: started(n), weight: weight(n), ..line(100 + n) };
@@ -329,7 +335,7 @@
     ] {
         let started = |n: u64| (n < cold).then(|| ms(590_000));
         let line = |n: u64| Listed { zone: (n % 3) as u16, started: started(n), ..line(n) };
-        let mut balancer = Balancer::new(settings(vec![class(Repeat::Safe)]), 1);
+        let mut balancer = Balancer::new(settings(vec![class(Idempotency::Idempotent)]), 1);
         let mut out = Vec::new();
         balancer.handle(ms(0), Event::List(ListNews::Cached((0..200).map(line).collect())), &mut out);
         balancer.handle(ms(0), plan.map_or(Event::Plan(None), told), &mut out);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -35,9 +35,10 @@
 
 impl Day {
     fn new(seed: u64, discovery: Discovery, probes: bool) -> Day {
-        let keyed = Repeat::Keyed { group: Group::Cell, window: ms(WINDOW) };
+        let keyed = Idempotency::Keyed { group: Group::Cell, window: ms(WINDOW) };
         let (permit, servers) = if probes { (Permit::Granted, 70) } else { (Permit::Denied, 7) };
-        let settings = settings([Repeat::Safe, keyed, Repeat::Unsafe].map(class).to_vec());
+        let settings =
+            settings([Idempotency::Idempotent, keyed, Idempotency::NonIdempotent].map(class).to_vec());
         let settings = Settings { discovery, cross_zone_price: 0.05, probes: permit, ..settings };
         let rig = Rig::seeded(settings, vec![], seed);
         Day { rig, requests: BTreeMap::new(), states: BTreeMap::new(), probes: vec![], servers }
