--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -2,9 +2,11 @@
 
 mod world;
 
+use nix::sys::signal::Signal;
 use serde_json::json;
-use std::io::Write;
+use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use world::*;
 
@@ -27,6 +29,16 @@
     client
 }
 
+/// Reads until this has come; `false` if the connection ends before.
+fn until(from: &mut TcpStream, end: &str) -> bool {
+    let mut bytes = BufReader::new(from).bytes().map_while(Result::ok);
+    let mut said = Vec::new();
+    bytes.any(|byte| {
+        said.push(byte);
+        said.ends_with(end.as_bytes())
+    })
+}
+
 #[test]
 fn long_bodies_go_through_unchanged_in_bounded_memory_with_many_at_once() {
     const LONG: usize = 3_000_000;
@@ -177,13 +189,13 @@
 fn a_legal_slow_client_is_served_and_its_time_runs_from_its_last_byte() {
     let (_upstream, sidecar) = answered(|seen| ok(&seen.body.len().to_string()), |_| {});
     // Held, and longer than what is held; both take longer than their clients then wait for the answer.
-    for length in [40_000, 100_000] {
-        let request = call("pay", 0.5).body(&text(length)).text();
+    for length in [64_000, 100_000] {
+        let request = call("pay", 0.9).body(&text(length)).text();
         let (head, body) = request.split_once("\r\n\r\n").expect("a head");
         let mut client = sidecar.connect();
         for part in [head, "\r\n\r\n"] {
             client.write_all(part.as_bytes()).expect("written");
-            std::thread::sleep(Duration::from_millis(400));
+            std::thread::sleep(Duration::from_millis(700));
         }
         for piece in body.as_bytes().chunks(6_400) {
             client.write_all(piece).expect("written");
@@ -193,6 +205,75 @@
     }
 }
 
+#[test]
+fn a_client_that_has_written_all_is_answered_in_its_time_though_its_upstream_hardly_takes_any() {
+    let (upstream, listener) = Upstream::unattended();
+    let sidecar = Sidecar::start(&[&upstream]);
+    let (taken, answered) = (AtomicUsize::new(0), AtomicBool::new(false));
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            // Never so long without any that it looks stopped.
+            while !answered.load(Ordering::SeqCst) && taken.fetch_add(1, Ordering::SeqCst) < 20 {
+                drop(stream.read_exact(&mut [0; 50_000]));
+                std::thread::sleep(Duration::from_secs(1));
+            }
+        });
+        // More than the buffers on the way there take, and little enough that its client may have written it.
+        let status = sidecar.ask(&call("pay", 0.5).body(&text(4_500_000))).status;
+        answered.store(true, Ordering::SeqCst);
+        assert!(status != 200 && taken.load(Ordering::SeqCst) < 6, "{status}");
+    });
+}
+
+#[test]
+fn what_was_answered_before_its_last_byte_is_never_sent_that() {
+    // One that is held, and one that is passed on as it comes.
+    let long = text(200_000);
+    let served = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{long}", long.len());
+    let rejected = "HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
+    for (answer, expected) in [(rejected, (503, "refused")), (served.as_str(), (200, long.as_str()))] {
+        let (upstream, listener) = Upstream::unattended();
+        let sidecar = Sidecar::start(&[&upstream]);
+        let text = call("pay", 5.0).body(&(text(100_000) + "end")).text();
+        let (early, late) = text.split_at(60_000);
+        let mut client = send(&sidecar, early);
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.set_read_timeout(Some(Duration::from_secs(30))).expect("set");
+        let mut taken = vec![0; 50_000];
+        stream.read_exact(&mut taken).expect("much of it");
+        // The end of the answer comes after that of the request.
+        let (head, end) = answer.split_at(answer.len() / 2);
+        let (head, end) = if answer == rejected { (answer, "") } else { (head, end) };
+        stream.write_all(head.as_bytes()).expect("written");
+        client.peek(&mut [0]).expect("the answer has begun");
+        drop(client.write_all(late.as_bytes()));
+        stream.write_all(end.as_bytes()).expect("written");
+        assert_eq!(Answer::read(&mut client).whole(), expected);
+        let ended = stream.read_to_end(&mut taken).map_err(|error| error.kind());
+        assert!(!matches!(ended, Err(ErrorKind::WouldBlock)) && !taken.ends_with(b"end"), "{}", taken.len());
+    }
+}
+
+#[test]
+fn a_client_that_ends_its_sending_with_a_long_body_gets_its_answer() {
+    let (upstream, listener) = Upstream::unattended();
+    let sidecar = Sidecar::start(&[&upstream]);
+    let text = call("pay", 20.0).body(&(text(100_000) + "end")).text();
+    let (early, late) = text.split_at(80_000);
+    let mut client = send(&sidecar, early);
+    let (mut stream, _) = listener.accept().expect("a connection");
+    assert!(until(&mut stream, "\r\n\r\n"), "it goes up");
+    // The rest and the end have come before the sidecar reads either.
+    sidecar.pause();
+    client.write_all(late.as_bytes()).expect("written");
+    client.shutdown(std::net::Shutdown::Write).expect("shut");
+    sidecar.signal(Signal::SIGCONT);
+    assert!(until(&mut stream, "end"), "its last byte");
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved").expect("written");
+    assert_eq!(Answer::read(&mut client).whole(), (200, "served"));
+}
+
 #[test]
 fn small_pieces_with_pauses_are_served_also_on_a_kept_connection() {
     let (_upstream, sidecar) = answered(|seen| ok(&seen.body), |_| {});
@@ -247,6 +328,22 @@
     }
 }
 
+#[test]
+fn an_answer_without_a_length_ends_with_a_close_and_not_with_a_reset() {
+    for reset in [false, true] {
+        let (upstream, listener) = Upstream::unattended();
+        let sidecar = Sidecar::start(&[&upstream]);
+        let mut client = send(&sidecar, &call("pay", 10.0).text());
+        let (mut stream, _) = listener.accept().expect("a connection");
+        assert!(until(&mut stream, "\r\n\r\n"), "a request");
+        stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nbegun").expect("written");
+        assert!(until(&mut client, "begun"), "what there is of it");
+        socket2::SockRef::from(&stream).set_linger(reset.then_some(Duration::ZERO)).expect("set");
+        drop(stream);
+        assert_eq!(until(&mut client, "0\r\n\r\n"), !reset);
+    }
+}
+
 #[test]
 fn who_stops_giving_or_taking_is_cut() {
     let long = text(30_000_000);
@@ -255,7 +352,10 @@
         Some("1") => Reply::Pieces(vec![half.clone()], Duration::ZERO),
         _ => ok(&long),
     });
-    let sidecar = Sidecar::with(&[&gives], with_door);
+    let sidecar = Sidecar::with(&[&gives], |config| {
+        with_door(config);
+        alone(config);
+    });
     let start = Instant::now();
     // A client that reads nothing: the upstream's connection is closed, and the request is over.
     let silent = send(&sidecar, &call("pay", 1.0).text());
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -324,23 +324,47 @@
     });
 }
 
+/// A folder that goes with its owner. Where the test fails it is left: the logs in it may tell why.
+pub struct Dir(PathBuf);
+
+impl Dir {
+    pub fn new(name: &str) -> Dir {
+        let dir = Dir(std::env::temp_dir().join(format!("listd-{name}-{}", std::process::id())));
+        std::fs::create_dir_all(&dir.0).expect("a folder");
+        dir
+    }
+
+    pub fn join(&self, file: impl AsRef<Path>) -> PathBuf {
+        self.0.join(file)
+    }
+}
+
+impl Drop for Dir {
+    fn drop(&mut self) {
+        if !thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
+    }
+}
+
 /// Three instances, each with a proxy on its way to each other one.
 pub struct Cluster {
-    dir: PathBuf,
     pub addrs: Vec<std::net::SocketAddr>,
     /// `proxies[from][to]`: the way from one instance to another; none from one to itself.
     pub proxies: Vec<Vec<Option<Proxy>>>,
     pub nodes: Vec<Option<Listd>>,
+    pub dir: Dir,
 }
 
 impl Cluster {
-    pub fn new(dir: &Path) -> Cluster {
-        Cluster::with(dir, "")
+    /// Starts one that serves the list.
+    pub fn new(name: &str) -> Cluster {
+        Cluster::with(name, "")
     }
 
     /// The same with more tables in each instance's configuration.
-    pub fn with(dir: &Path, tables: &str) -> Cluster {
-        std::fs::create_dir_all(dir).expect("a folder");
+    pub fn with(name: &str, tables: &str) -> Cluster {
+        let dir = Dir::new(name);
         let addrs: Vec<_> = (0..3).map(|_| free_port()).collect();
         let proxies: Vec<Vec<_>> = (0..3)
             .map(|from| (0..3).map(|to| (from != to).then(|| Proxy::new(addrs[to]))).collect())
@@ -356,11 +380,17 @@
             std::fs::write(dir.join(format!("{from}.toml")), format!("[peers]\n{peers}{tables}"))
                 .expect("a configuration");
         }
-        let mut cluster = Cluster { dir: dir.to_owned(), addrs, proxies, nodes: vec![None, None, None] };
-        (0..3).for_each(|i| cluster.start(i));
+        let mut cluster = Cluster { addrs, proxies, nodes: vec![None, None, None], dir };
+        cluster.start_all();
         cluster
     }
 
+    /// Starts all three; back once they serve the list.
+    pub fn start_all(&mut self) {
+        (0..3).for_each(|i| self.start(i));
+        self.serving("no leader");
+    }
+
     /// Cuts or mends both ways between one instance and the others.
     pub fn cut(&self, i: usize, cut: bool) {
         for (from, ways) in self.proxies.iter().enumerate() {
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -37,9 +37,7 @@
 
 #[test]
 fn one_holder_at_a_time_and_no_plan_of_an_old_token_or_a_minority() {
-    let dir = std::env::temp_dir().join(format!("listd-duties-{}", std::process::id()));
-    let mut cluster = Cluster::with(&dir, FLEET);
-    cluster.serving("no leader");
+    let mut cluster = Cluster::with("duties", FLEET);
 
     // A report is kept where it came and refused where it is older, out of bounds or too long.
     let report = |span: &str| {
@@ -94,7 +92,7 @@
     assert_eq!((published.0, published.1["Published"]["token"].as_u64()), (200, Some(old)));
     let stopped = cluster.nodes[first].take().expect("running").terminate();
     assert!(stopped.success(), "{stopped}");
-    let log = std::fs::read_to_string(dir.join(format!("{first}.log"))).expect("its log");
+    let log = std::fs::read_to_string(cluster.dir.join(format!("{first}.log"))).expect("its log");
     assert!(log.contains(r#""message":"released","duty":"planner""#), "{log}");
     let (second, token) = next_planner(&cluster, old);
     assert_ne!(first, second);
@@ -117,12 +115,9 @@
 
     // All three killed and started again: plan and duties are there, and tokens only grow.
     cluster.kill_all();
-    (0..3).for_each(|i| cluster.start(i));
-    cluster.serving("no leader after the restart");
+    cluster.start_all();
     let plan = settled(&cluster, "GET", "/fleet/plan", "").1;
     assert!(plan["mark"]["version"].as_u64() >= Some(version), "{plan}");
     assert_eq!(grant(&cluster, "sonda", "c", 60_000).1["holder"].as_str(), Some("b"));
     next_planner(&cluster, third);
-    drop(cluster);
-    let _ = std::fs::remove_dir_all(&dir);
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -15,8 +15,6 @@
 
 /// The fleet of the issue.
 const FLEET: usize = 300;
-/// Sidecars started at once, each waited for until ready.
-const STARTING: usize = 16;
 /// A watch waits 2 s where nothing changes: a fleet asks about `FLEET / 2` times a second in steady state, and
 /// twice that is the bound, for a loaded machine.
 const STEADY_MOST: f64 = FLEET as f64;
@@ -43,9 +41,8 @@
 }
 
 impl Front {
-    fn new(dir: &std::path::Path) -> Front {
-        let cluster = Cluster::new(dir);
-        cluster.serving("no leader");
+    fn new(name: &str) -> Front {
+        let cluster = Cluster::new(name);
         let proxies = cluster.addrs.iter().map(|&addr| Proxy::new(addr)).collect();
         Front { cluster, proxies, revision: Cell::new(0) }
     }
@@ -86,30 +83,16 @@
 
 fn fleet(front: &Front, upstream: &Upstream, size: usize) -> Vec<Sidecar> {
     let peers: Vec<String> = front.proxies.iter().map(|proxy| proxy.addr.to_string()).collect();
-    let mut fleet = Vec::with_capacity(size);
-    while fleet.len() < size {
-        let batch = STARTING.min(size - fleet.len());
-        let started: Vec<Sidecar> = thread::scope(|scope| {
-            let starting: Vec<_> = (0..batch)
-                .map(|_| {
-                    let peers = &peers;
-                    scope.spawn(move || Sidecar::with(&[upstream], |c| c["discovery_peers"] = json!(peers)))
-                })
-                .collect();
-            starting.into_iter().map(|started| started.join().expect("started")).collect()
-        });
-        fleet.extend(started);
-    }
-    fleet
+    let all = vec![(); size];
+    Sidecar::many(&all, |()| Sidecar::with(&[upstream], |c| c["discovery_peers"] = json!(peers)))
 }
 
 #[test]
 fn three_hundred_sidecars_take_each_change_and_do_not_stampede_a_restarted_service() {
-    let dir = std::env::temp_dir().join(format!("listd-fleet-{}", std::process::id()));
-    let mut front = Front::new(&dir);
+    let mut front = Front::new("fleet");
     let upstream = Upstream::start(|_| Reply::text(200, "", "served"));
     front.change(&upstream, "Ready");
-    let sidecars = fleet(&front, &upstream, FLEET);
+    let _sidecars = fleet(&front, &upstream, FLEET);
     let all: Vec<&Proxy> = front.proxies.iter().collect();
 
     let steady = a_second(|| front.requests(), Duration::from_secs(6));
@@ -137,9 +120,6 @@
     assert!(busiest <= RESTARTED_MOST, "{busiest} calls in the busiest second after the restart");
     front.change(&upstream, "Terminating");
     assert!(Front::reached(&all, FLEET).is_some(), "each sidecar took the change after the restart");
-    drop(sidecars);
-    drop(front);
-    let _ = std::fs::remove_dir_all(&dir);
 }
 
 /// Figures of the issue, not a check: run with `cargo test --release --test fleet -- --ignored --nocapture`.
@@ -151,8 +131,7 @@
 fn measure_the_reach_of_a_change_and_the_calls_of_a_fleet() {
     const CHANGES: usize = 20;
     for size in [10, 100, 300] {
-        let dir = std::env::temp_dir().join(format!("listd-measure-{}-{size}", std::process::id()));
-        let front = Front::new(&dir);
+        let front = Front::new(&format!("measure-{size}"));
         let upstream = Upstream::start(|_| Reply::text(200, "", "served"));
         front.change(&upstream, "Ready");
         let sidecars = fleet(&front, &upstream, size);
@@ -173,7 +152,6 @@
         let watching = a_second(|| front.requests(), Duration::from_secs(6));
         drop(sidecars);
         drop(front);
-        let _ = std::fs::remove_dir_all(&dir);
 
         let today: Vec<Sidecar> = (0..size).map(|_| Sidecar::start(&[&upstream])).collect();
         let calls = || today.iter().map(|sidecar| sidecar.discovery.calls()).sum::<usize>();
--- a/tests/list_service.rs
+++ b/tests/list_service.rs
@@ -35,9 +35,7 @@
 
 #[test]
 fn a_sidecar_keeps_its_list_while_the_service_is_away_and_takes_the_next_after_its_return() {
-    let dir = std::env::temp_dir().join(format!("listd-sidecar-{}", std::process::id()));
-    let mut cluster = Cluster::new(&dir);
-    cluster.serving("no leader");
+    let mut cluster = Cluster::new("sidecar");
     let [a, b, c] = [(); 3].map(|()| Upstream::start(|_| Reply::text(200, "", "served")));
     register(&cluster, &a);
     let peers: Vec<String> = cluster.addrs.iter().map(ToString::to_string).collect();
@@ -52,10 +50,7 @@
         assert_eq!(sidecar.ask(&call("look", 2.0).method("GET")).status, 200, "served on the last list");
         std::thread::sleep(Duration::from_millis(500));
     }
-    (0..3).for_each(|i| cluster.start(i));
-    cluster.serving("no leader after the return");
+    cluster.start_all();
     register(&cluster, &c);
     assert!(served_by(&sidecar, &c, BACK), "what the service told after its return was taken");
-    drop(cluster);
-    let _ = std::fs::remove_dir_all(&dir);
 }
--- a/tests/listd.rs
+++ b/tests/listd.rs
@@ -2,15 +2,14 @@
 
 mod cluster;
 
-use cluster::{Listd, entry, ids, revision};
+use cluster::{Dir, Listd, entry, ids, revision};
 use std::io::Write;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 #[test]
 fn a_lease_lapses_after_its_grace_and_a_killed_service_comes_back_with_its_revision() {
-    let dir = std::env::temp_dir().join(format!("listd-test-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).expect("a folder");
+    let dir = Dir::new("test");
     let (data, config) = (dir.join("store.redb"), dir.join("listd.toml"));
     std::fs::write(&config, "grace_ms = 300\n").expect("a configuration");
     let listd = Listd::start(&data, &config, &[]);
@@ -77,14 +76,11 @@
     assert_eq!((revision(&whole), ids(&whole)), (4, Vec::<String>::new()));
     let (_, changes) = listd.call("GET", "/registry/instances?index=2&wait=0", "");
     assert_eq!(ids(&changes), ["kept:Gone", "leased:Gone"], "tombstones outlive a restart");
-    drop(listd);
-    let _ = std::fs::remove_dir_all(&dir);
 }
 
 #[test]
 fn a_crowd_of_clients_is_refused_and_leaves_places_for_the_other_instances() {
-    let dir = std::env::temp_dir().join(format!("listd-crowd-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).expect("a folder");
+    let dir = Dir::new("crowd");
     let config = dir.join("listd.toml");
     std::fs::write(&config, "max_connections = 4\n").expect("a configuration");
     let listd = Listd::start(&dir.join("store.redb"), &config, &[]);
@@ -104,6 +100,4 @@
     }
     drop(watches);
     listd.until("no place again", Listd::serves);
-    drop(listd);
-    std::fs::remove_dir_all(&dir).expect("removed");
 }
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -2,9 +2,10 @@
 
 mod world;
 
+use nix::sys::signal::Signal;
 use serde_json::json;
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream, UdpSocket};
+use std::net::{Shutdown, TcpListener, TcpStream, UdpSocket};
 use std::process::Stdio;
 use std::time::Duration;
 use world::*;
@@ -92,6 +93,22 @@
     assert_eq!(said.matches("HTTP/1.1").count(), 1, "{said}");
 }
 
+#[test]
+fn who_ends_its_sending_with_its_call_at_the_door_is_answered() {
+    let (upstream, sidecar) = served(with_door);
+    let out = format!("PUT /upstreams/disable?name={}", upstream.id());
+    for call in ["GET /ready", "GET /metrics", &out, &out] {
+        let mut door = sidecar.door();
+        // Both have come before the sidecar reads either.
+        sidecar.pause();
+        door.write_all(format!("{call} HTTP/1.1\r\nHost: n0\r\n\r\n").as_bytes()).expect("written");
+        door.shutdown(Shutdown::Write).expect("shut");
+        sidecar.signal(Signal::SIGCONT);
+        assert!(all_of(door).starts_with("HTTP/1.1 200"), "{call}");
+    }
+    assert_eq!(sidecar.figure("hosts_down"), 1);
+}
+
 #[test]
 fn the_door_answers_beside_callers_who_hold_connections_and_clients_who_hold_all_of_theirs() {
     let (_upstream, sidecar) = served(|config| {
@@ -170,7 +187,10 @@
         std::thread::sleep(Duration::from_millis(300));
         ok("served")
     });
-    let sidecar = Sidecar::with(&[&upstream], with_door);
+    let sidecar = Sidecar::with(&[&upstream], |config| {
+        with_door(config);
+        alone(config);
+    });
     for _ in 0..2 {
         let mut idle = sidecar.kept();
         let before = upstream.requests().len();
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -162,7 +162,11 @@
 fn a_site_that_goes_dark_is_reported_early_and_who_is_no_part_of_a_fleet_has_no_thread_for_it() {
     let planner = Planner::start();
     let (home, away, sidecar) = world(&planner, 1_500);
-    assert!(sidecar.has_thread("fleet") && !Sidecar::start(&[&home]).has_thread("fleet"));
+    // A thread gives itself its name, once it runs.
+    sidecar.wait_until("its thread", |sidecar| sidecar.has_thread("fleet"));
+    let alone = Sidecar::start(&[&home]);
+    alone.serves(1, 5.0);
+    assert!(!alone.has_thread("fleet"));
     planner.say(|said| said.plan = Some(all_to("b", 1)));
     planner.wait_for(Some(all_to("b", 1).mark));
     // From the start of a report's time on, so that the next one in turn is far.
--- a/tests/replication.rs
+++ b/tests/replication.rs
@@ -21,9 +21,7 @@
 
 #[test]
 fn three_instances_keep_what_was_acknowledged_through_a_kill_a_cut_and_a_restart_of_all() {
-    let dir = std::env::temp_dir().join(format!("listd-raft-{}", std::process::id()));
-    let mut cluster = Cluster::new(&dir);
-    cluster.serving("no leader");
+    let mut cluster = Cluster::new("raft");
 
     // A stream of writes; the leader is killed in it. Every acknowledged write survives, revisions only grow.
     let (mut acknowledged, mut last_revision, mut gap) = (Vec::new(), 0, None);
@@ -103,6 +101,4 @@
     (0..3).for_each(|i| {
         cluster.node(i).until("not the same after a restart", holds(revision_in_majority, &left))
     });
-    drop(cluster);
-    let _ = std::fs::remove_dir_all(&dir);
 }
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -15,7 +15,6 @@
 use micapier::fleet::state::SiteState;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -36,8 +35,6 @@
 pub const CORES: usize = 2;
 pub const COLD_FROM: f64 = 0.19;
 pub const FALL_MULTIPLE: f64 = 2.0;
-/// Sidecars started at once, each waited for until ready.
-const STARTING: usize = 16;
 
 /// How large a fleet is, and how fast its servers warm up.
 #[derive(Clone)]
@@ -65,7 +62,6 @@
 /// The processes and the stand-ins of a fleet.
 pub struct Fleet {
     pub size: Size,
-    dir: PathBuf,
     pub cluster: Cluster,
     /// The ways of the sidecars to the three instances.
     pub fronts: Vec<Proxy>,
@@ -128,13 +124,10 @@
 impl Fleet {
     /// Starts all of it: the list service knows every server, each sidecar is ready.
     pub fn start(name: &str, size: Size) -> Fleet {
-        let dir = std::env::temp_dir().join(format!("listd-{name}-{}", std::process::id()));
-        let cluster = Cluster::with(&dir, &fleet_table(&size));
-        cluster.serving("no leader");
+        let cluster = Cluster::with(name, &fleet_table(&size));
         let fronts: Vec<Proxy> = cluster.addrs.iter().map(|&addr| Proxy::new(addr)).collect();
         let stand = Stand::start(SITES.len(), size.servers_a_site, size.ramp);
         let mut fleet = Fleet {
-            dir,
             cluster,
             fronts,
             stand,
@@ -185,7 +178,7 @@
     pub fn start_sidecars(&mut self, which: &[usize]) {
         let peers: Vec<String> = self.fronts.iter().map(|front| front.addr.to_string()).collect();
         let (known, size) = (self.known(), self.size.clone());
-        let start = &|i: usize| {
+        let start = |&i: &usize| {
             Sidecar::with(&[], |c| {
                 c["name"] = json!(format!("n{i}"));
                 c["seed"] = json!(format!("{:x}", 0x5a00 + i));
@@ -197,17 +190,11 @@
                 c["settings"] = settings(i, &size);
             })
         };
-        for batch in which.chunks(STARTING) {
-            batch.iter().for_each(|&i| self.since_ms[i] = unix_ms());
-            let started: Vec<Sidecar> = thread::scope(|scope| {
-                let starting: Vec<_> = batch.iter().map(|&i| scope.spawn(move || start(i))).collect();
-                starting.into_iter().map(|started| started.join().expect("started")).collect()
-            });
-            for (&i, sidecar) in batch.iter().zip(started) {
-                let addr = sidecar.connect().peer_addr().expect("its address");
-                self.addrs.lock().expect("no panic")[i] = addr;
-                self.sidecars[i] = Some(sidecar);
-            }
+        which.iter().for_each(|&i| self.since_ms[i] = unix_ms());
+        for (&i, sidecar) in which.iter().zip(Sidecar::many(which, start)) {
+            let addr = sidecar.connect().peer_addr().expect("its address");
+            self.addrs.lock().expect("no panic")[i] = addr;
+            self.sidecars[i] = Some(sidecar);
         }
     }
 
@@ -286,9 +273,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        // The sidecars first: they would log each call to a service that is gone.
+        // Before the service: they would log each call to one that is gone.
         self.sidecars.clear();
-        self.cluster.nodes.clear();
-        let _ = std::fs::remove_dir_all(&self.dir);
     }
 }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -2,7 +2,6 @@
 
 mod world;
 
-use nix::sys::signal::Signal;
 use serde_json::json;
 use std::io::{Read, Write};
 use std::time::{Duration, Instant};
@@ -115,6 +114,16 @@
     assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
 }
 
+#[test]
+fn figures_that_no_clock_can_add_end_nothing() {
+    let (_upstream, sidecar) = served(|_| {});
+    for (name, most, status) in [("X-Budget", "1.8e19", 400), ("X-Call-Cost", "1.8e25", 200)] {
+        let call = call("pay", 5.0).without(name).header(name, most);
+        assert_eq!(sidecar.ask(&call).status, status, "{name}");
+    }
+    sidecar.serves(1, 5.0);
+}
+
 #[test]
 fn what_the_application_never_sent_reaches_no_upstream_and_harms_none() {
     // As upstreams do, this one answers with an error what it can't take for a request of the application.
@@ -173,12 +182,30 @@
 #[test]
 fn what_comes_malformed_from_an_upstream_is_a_failure_and_no_panic() {
     let bad_length = "HTTP/1.1 200 OK\r\nContent-Length: soon\r\n\r\n";
-    for raw in ["\u{1}\u{2}garbage\r\n\r\n", bad_length, "HTTP/1.1 999\r\n\r\n"] {
-        let (_upstream, sidecar) = answered(move |_| Reply::Raw(raw.into()), |_| {});
+    let framed = |framing: &str| format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
+    let twofold = framed("Content-Length: 12\r\nTransfer-Encoding: chunked");
+    let [lengths, unknown] =
+        ["Content-Length: 12\r\nContent-Length: 2", "Transfer-Encoding: gzip"].map(framed);
+    let bad = ["\u{1}\u{2}garbage\r\n\r\n", bad_length, "HTTP/1.1 999\r\n\r\n", &twofold, &lengths, &unknown];
+    for raw in bad.map(str::to_owned) {
+        let reply = Reply::Raw(raw.clone());
+        let (_upstream, sidecar) = answered(move |_| reply.clone(), |_| {});
         assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 502, "{raw}");
     }
 }
 
+#[test]
+fn what_follows_an_answer_that_can_have_no_body_is_no_answer_to_the_next_request() {
+    for status in [204, 304] {
+        let asked = Shared::default();
+        let stray = Reply::text(status, "", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray");
+        let (_upstream, sidecar) =
+            answered(move |_| if asked.count() == 1 { stray.clone() } else { ok("own") }, |_| {});
+        assert_eq!(sidecar.ask(&call("pay", 5.0)).status, 502);
+        assert_eq!(sidecar.ask(&call("pay", 5.0)).whole(), (200, "own"), "after {status}");
+    }
+}
+
 #[test]
 fn the_list_is_followed_and_kept_through_failures() {
     let [a, b] = twins(|_| ok("served"));
@@ -207,6 +234,10 @@
     sidecar.discovery.say(0, false, &[b.line("Ready")]);
     sidecar.discovery.tell(5, true, &[b.line("Ready")]);
     assert!(served_by(&b, &a));
+    // But what it takes back counts, also where nobody tells the whole list then.
+    sidecar.discovery.tell(6, true, &[a.line("Ready"), b.line("Ready")]);
+    sidecar.discovery.say_and_refuse(2, &[b.line("Terminating")], 100);
+    assert!(served_by(&a, &b));
 }
 
 #[test]
@@ -237,7 +268,7 @@
         std::thread::sleep(Duration::from_millis(400));
         ok("served")
     });
-    let mut sidecar = Sidecar::start(&[&upstream]);
+    let mut sidecar = Sidecar::with(&[&upstream], alone);
     let mut kept = sidecar.connect();
     kept.write_all(b"GET /health/ready HTTP/1.1\r\nHost: n0\r\n\r\n").expect("written");
     assert_eq!(Answer::read(&mut kept).status, 200);
@@ -268,11 +299,8 @@
 #[test]
 fn a_newcomer_without_room_costs_one_other_its_connection_and_not_all() {
     let (_upstream, sidecar) = served(|config| config["limits"]["sockets"] = json!(80));
-    let mut kept: Vec<_> = (0..32).map(|_| sidecar.connect()).collect();
-    for client in &mut kept {
-        client.write_all(call("pay", 5.0).text().as_bytes()).expect("written");
-        assert_eq!(Answer::read(client).status, 200);
-    }
+    // Each asks at once: where there is no room, who says nothing for a while gives way for that.
+    let mut kept: Vec<_> = (0..32).map(|_| sidecar.kept()).collect();
     assert_eq!(sidecar.ask(&call("pay", 5.0)).status, 200);
     let is_closed = |client: &mut std::net::TcpStream| {
         client.set_read_timeout(Some(Duration::from_millis(50))).expect("set");
@@ -319,6 +347,8 @@
     let now = std::time::UNIX_EPOCH.elapsed().expect("a clock").as_millis();
     let sidecar = Sidecar::with(&[&warm, &cold], |config| {
         config["known"]["members"][1]["up_since_ms"] = json!(now as u64);
+        // What little is, these say: it falls at twice a tenth of what it can do.
+        config["settings"]["obligations"] = json!({"coldFrom": 0.1, "fallMultiple": 2.0});
     });
     sidecar.serves(60, 2.0);
     assert!(cold.requests().len() < 20, "{}", cold.requests().len());
@@ -339,19 +369,24 @@
 }
 
 #[test]
-fn a_keyed_request_that_may_have_run_is_repeated_only_in_its_cell() {
-    for (other_cell, status, sent) in [(0, 200, 17), (1, 502, 16)] {
+fn a_keyed_request_that_may_have_run_is_repeated_only_in_its_cell_or_zone() {
+    // Nobody knows how many zones those are that the settings don't name.
+    let (home, away, unnamed) = (("a", 0), ("West b", 1), [("unnamed", 0), ("none either", 1)]);
+    for (places, status, sent) in [([home; 2], 200, 17), ([home, away], 502, 16), (unnamed, 502, 16)] {
         // Whichever has the sixteenth breaks the connection; those before have earned it another attempt.
         let asked = Shared::default();
         let both = twins(move |_| if asked.count() == 16 { Reply::Close } else { ok("served") });
         let sidecar = Sidecar::with(&both.each_ref(), |config| {
-            config["known"]["members"][1]["cell"] = json!(other_cell);
+            for (at, (zone, cell)) in places.into_iter().enumerate() {
+                let line = &mut config["known"]["members"][at];
+                (line["locality"], line["cell"]) = (json!(zone), json!(cell));
+            }
         });
         for status in [[200; 15].as_slice(), &[status]].concat() {
             let call = call("report", 2.0).header("Idempotency-Key", "k");
-            assert_eq!(sidecar.ask(&call).status, status, "cell {other_cell}");
+            assert_eq!(sidecar.ask(&call).status, status, "{places:?}");
         }
-        assert_eq!(both[0].requests().len() + both[1].requests().len(), sent, "cell {other_cell}");
+        assert_eq!(both[0].requests().len() + both[1].requests().len(), sent, "{places:?}");
     }
 }
 
@@ -381,6 +416,58 @@
     assert!(calls as u128 <= 3 + since.elapsed().as_millis() / 100, "{calls} calls in {:?}", since.elapsed());
 }
 
+#[test]
+fn a_list_counts_in_each_form_that_json_has_for_it() {
+    let [a, b] = twins(|_| ok("served"));
+    let sidecar = Sidecar::start(&[&a, &b]);
+    let list = json!({"revision": 2, "complete": false, "members": [a.line("Terminating")]}).to_string();
+    let list = list.replace(":2", ":2.0").replace("\"cell\":0", "\"cell\":0e0");
+    let list = list.replace("Terminating", "\\u0054erminating").replace(',', "\r\n\t , ");
+    sidecar.discovery.fail(Reply::text(200, "", &list));
+    sidecar.discovery.wait_for_index(2);
+    sidecar.serves(8, 5.0);
+    assert!(a.requests().is_empty());
+}
+
+#[test]
+fn an_answer_of_discovery_counts_in_each_form_and_the_watch_goes_on() {
+    for mode in ["pushed", "on_request"] {
+        let [a, b] = twins(|_| ok("served"));
+        let sidecar = Sidecar::with(&[&a, &b], |config| {
+            config["settings"]["discovery"] = json!(mode);
+            config["settings"]["obligations"] = json!({"mustAskIn": 200.0});
+        });
+        let pause = Duration::from_millis(1);
+        let bytes = |text: &str| text.chars().map(String::from).collect();
+        let chunks = |text: &str| {
+            let chunks: String = text.chars().map(|c| format!("1;x=\"y\"\r\n{c}\r\n")).collect();
+            format!("HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n{chunks}000\r\nX-More: 1\r\n\r\n")
+        };
+        let with = |head: &str, text: &str| format!("HTTP/1.1 200 \r\n{head}\r\n\r\n{text}");
+        let length = |text: &str| format!("content-length:{}  ", text.len());
+        let forms: [&dyn Fn(&str) -> Reply; 6] = [
+            &|text| Reply::Pieces(bytes(&with(&length(text), text)), pause),
+            &|text| Reply::Whole(chunks(text)),
+            &|text| Reply::Raw(with("X: y", text)),
+            &|text| Reply::Raw(with(&format!("{}\r\nConnection: close", length(text)), text)),
+            &|text| Reply::Whole(with(&format!("{}\r\nConnection: close", length(text)), text)),
+            &|text| Reply::Whole(format!("HTTP/1.1 103 X\r\nA: b\r\n\r\n{}", with(&length(text), text))),
+        ];
+        for (i, form) in forms.iter().enumerate() {
+            let (left, kept) = if i % 2 == 0 { (&a, &b) } else { (&b, &a) };
+            let revision = 2 + i as u64;
+            let list = json!({"revision": revision, "complete": i % 3 == 0, "members":
+                [left.line("Terminating"), kept.line("Ready")]});
+            sidecar.discovery.fail(form(&list.to_string()));
+            sidecar.discovery.wait_for_index(revision);
+            let before = left.requests().len();
+            sidecar.serves(6, 5.0);
+            assert_eq!(left.requests().len(), before, "{mode}, {i}");
+            assert_eq!(sidecar.lines_with("discovery: "), 0, "{mode}, {i}");
+        }
+    }
+}
+
 #[test]
 fn at_sighup_discovery_is_followed_at_the_address_that_the_file_names_now() {
     for mode in ["pushed", "on_request"] {
@@ -392,8 +479,7 @@
         });
         assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200);
         // A file that can't be read changes nothing.
-        sidecar.spoil_config();
-        sidecar.signal(Signal::SIGHUP);
+        sidecar.reload_bad(b"{");
         assert_eq!(sidecar.ask(&call("pay", 2.0)).status, 200, "{mode}");
         // The new one counts anew, from below the revision held.
         sidecar.move_discovery(0, &[b.line("Ready")]);
@@ -407,3 +493,28 @@
         assert_eq!(a.requests().len(), 3, "{mode}: and what it has to say afterwards");
     }
 }
+
+#[test]
+fn after_each_way_a_call_to_discovery_fails_a_whole_list_takes_out_what_it_leaves_out() {
+    let cut = "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"revision\": 2,";
+    let failures = [Reply::Close, Reply::text(503, "Retry-After: 60\r\n", ""), Reply::Whole(cut.into())];
+    for (mode, failure) in ["pushed", "on_request"].into_iter().flat_map(|m| failures.clone().map(|f| (m, f)))
+    {
+        let [a, b] = twins(|_| ok("served"));
+        let sidecar = Sidecar::with(&[&a, &b], |config| {
+            config["settings"]["discovery"] = json!(mode);
+            config["settings"]["obligations"] = json!({"mustAskIn": 200.0});
+        });
+        sidecar.discovery.fail(failure);
+        // Older than what follows at once on the watch. The one that serves drains then.
+        sidecar.discovery.tell(2, true, &[a.line("Ready"), b.line("Ready")]);
+        sidecar.serves(6, 5.0);
+        let (left, kept) = if a.requests().is_empty() { (&b, &a) } else { (&a, &b) };
+        let before = left.requests().len();
+        let list = json!({"revision": 3, "complete": true, "members": [kept.line("Ready")]});
+        sidecar.discovery.fail(Reply::text(200, "", &serde_json::to_string_pretty(&list).expect("text")));
+        sidecar.discovery.wait_for_index(3);
+        sidecar.serves(6, 5.0);
+        assert_eq!(left.requests().len(), before, "{mode}");
+    }
+}
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -47,9 +47,7 @@
 
 #[test]
 fn each_step_is_taken_once_through_the_planners_ends_and_a_restart_of_all() {
-    let dir = std::env::temp_dir().join(format!("listd-windows-{}", std::process::id()));
-    let mut cluster = Cluster::with(&dir, FLEET);
-    cluster.serving("no leader");
+    let mut cluster = Cluster::with("windows", FLEET);
     let (first, _) = planner(&cluster);
 
     // Granted by the leader alone, and to the same request again.
@@ -90,8 +88,7 @@
     cluster.start(first);
     // In the lead all are killed.
     cluster.kill_all();
-    (0..3).for_each(|i| cluster.start(i));
-    cluster.serving("no leader after the restart");
+    cluster.start_all();
     let active = until(&cluster, "Active", "Maintenance");
     // A call to extend that is made twice counts once.
     let extended = extend(&cluster, &active["end"]).1["end"].as_u64();
@@ -112,6 +109,4 @@
         };
         cluster.node(i).until("steps were lost or done twice", done);
     }
-    drop(cluster);
-    let _ = std::fs::remove_dir_all(&dir);
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,6 +4,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -15,6 +16,69 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// One customer's part of the configuration. Tests name a class by what it is to the first one.
+struct Deployment {
+    /// Each class of the first as this one names it.
+    classes: [(&'static str, &'static str); 3],
+    tenant: &'static str,
+    settings: fn() -> Value,
+    limits: fn() -> Value,
+}
+
+/// The second has other names, zones, effects, limits and costs, and asks discovery. Of the names some are those of the
+/// first with another effect, some each other's beginnings, and two differ by case alone.
+const DEPLOYMENTS: [Deployment; 2] = [
+    Deployment {
+        classes: [("pay", "pay"), ("report", "report"), ("look", "look")],
+        tenant: "",
+        limits: || json!({"cores": 1.0, "memory_mb": 192, "sockets": 1024}),
+        settings: || {
+            json!({
+                "areas": ["a"], "skus": ["m"], "zone": 0, "me": 0, "instances": 1, "discovery": "pushed", "tick": 1.0,
+                "policyLimits": {"cancel": true, "mostTries": 4, "retryAfter": true, "maxRetryAfter": 2000.0},
+                "requestClasses": [
+                    {"name": "pay", "idempotency": "fragile", "aim": 5000.0, "deadline": 20000.0},
+                    {"name": "report", "idempotency": "dedup", "group": "cell", "dedupWindow": 7500.0,
+                     "aim": 5000.0, "deadline": 20000.0},
+                    {"name": "look", "idempotency": "retryable", "aim": 5000.0, "deadline": 20000.0},
+                ],
+            })
+        },
+    },
+    Deployment {
+        classes: [("pay", "look"), ("report", "look výdaj 2"), ("look", "pay")],
+        tenant: "Acme 2",
+        limits: || json!({"cores": 0.5, "memory_mb": 96, "sockets": 700}),
+        settings: || {
+            json!({
+                "areas": ["West b", "a"], "skus": ["n", "m"], "zone": 1, "me": 3, "instances": 5, "tick": 2.0,
+                "discovery": "on_request", "obligations": {"mustAskIn": 200.0, "coldFrom": 0.4, "fallMultiple": 3.0},
+                "policyLimits": {"cancel": true, "mostTries": 5, "retryAfter": true, "maxRetryAfter": 1500.0,
+                    "connectTimeout": 400.0, "keepalive": 9000.0},
+                "prices": {"crossZone": 0.03}, "worthBy": "work", "blend": {"whole": 0.65, "worstClass": 0.2},
+                "orgs": [{"name": "acme 2", "share": 0.9}, {"name": "Acme", "share": 0.1}],
+                "requestClasses": [
+                    {"name": "look", "idempotency": "fragile", "aim": 4000.0, "deadline": 12000.0, "points": 15.0},
+                    {"name": "PAY", "idempotency": "fragile", "aim": 4500.0, "deadline": 9000.0},
+                    {"name": "pay", "idempotency": "retryable", "aim": 5500.0, "deadline": 16000.0, "points": 5.0},
+                    {"name": "look výdaj 2", "idempotency": "dedup", "group": "zone", "dedupWindow": 9500.0,
+                     "aim": 4500.0, "deadline": 14000.0, "points": 2.0, "lateWorth": 0.5},
+                ],
+            })
+        },
+    },
+];
+
+/// The second where the test's program is this one.
+fn deployment() -> &'static Deployment {
+    &DEPLOYMENTS[usize::from(env!("CARGO_CRATE_NAME") == "elsewhere")]
+}
+
+/// What the deployment names a class of the first; any other name is as it is.
+pub fn name_of(class: &str) -> &str {
+    deployment().classes.iter().find(|(first, _)| *first == class).map_or(class, |(_, name)| name)
+}
+
 /// Long enough for any machine; reached only when something is broken.
 const LONG: Duration = Duration::from_secs(30);
 
@@ -130,6 +194,21 @@
     pub fn text(status: u16, headers: &str, body: &str) -> Reply {
         Reply::Whole(format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()))
     }
+
+    fn write(self, to: &mut TcpStream) {
+        match self {
+            Reply::Whole(text) => drop(to.write_all(text.as_bytes())),
+            Reply::Raw(text) => drop((to.write_all(text.as_bytes()), to.shutdown(Shutdown::Write))),
+            Reply::Pieces(pieces, pause) => {
+                for piece in pieces {
+                    drop(to.write_all(piece.as_bytes()));
+                    thread::sleep(pause);
+                }
+            }
+            Reply::Close => drop(to.shutdown(Shutdown::Both)),
+            Reply::Silence => {}
+        }
+    }
 }
 
 #[derive(Default)]
@@ -144,7 +223,21 @@
 fn listen(
     stopped: Arc<AtomicBool>, serve: impl Fn(TcpStream) + Send + Sync + 'static,
 ) -> (SocketAddr, thread::JoinHandle<()>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listen_at(TcpListener::bind("127.0.0.1:0").expect("a port"), stopped, serve)
+}
+
+/// Takes the address of one that has stopped: whoever connects is refused, and nobody else gets the port.
+fn hold(addr: SocketAddr) -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_reuse_address(true).expect("set");
+    // A process that is just being started has a copy of each descriptor until it runs its own program.
+    wait("the port", || socket.bind(&addr.into()).is_ok());
+    socket
+}
+
+fn listen_at(
+    listener: TcpListener, stopped: Arc<AtomicBool>, serve: impl Fn(TcpStream) + Send + Sync + 'static,
+) -> (SocketAddr, thread::JoinHandle<()>) {
     let (addr, serve) = (listener.local_addr().expect("an address"), Arc::new(serve));
     let listening = thread::spawn(move || {
         for stream in listener.incoming().take_while(|_| !stopped.load(Ordering::SeqCst)) {
@@ -160,6 +253,7 @@
     state: Arc<Watched<State>>,
     stopped: Arc<AtomicBool>,
     listening: Mutex<Option<thread::JoinHandle<()>>>,
+    held: Mutex<Option<Socket>>,
 }
 
 impl Upstream {
@@ -167,7 +261,15 @@
         let (state, stopped) = (Watched::new(State::default()), Arc::new(AtomicBool::new(false)));
         let of = state.clone();
         let (addr, listening) = listen(stopped.clone(), move |stream| Upstream::serve(stream, &of, &reply));
-        Upstream { addr, state, stopped, listening: Mutex::new(Some(listening)) }
+        Upstream { addr, state, stopped, listening: Mutex::new(Some(listening)), held: Mutex::default() }
+    }
+
+    /// One that the test itself answers for.
+    pub fn unattended() -> (Upstream, TcpListener) {
+        let (state, stopped) = (Watched::new(State::default()), Arc::default());
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (addr, listening, held) = (listener.local_addr(), Mutex::default(), Mutex::default());
+        (Upstream { addr: addr.expect("an address"), state, stopped, listening, held }, listener)
     }
 
     fn serve(mut stream: TcpStream, state: &Watched<State>, reply: &dyn Fn(&Seen) -> Reply) {
@@ -179,20 +281,7 @@
         });
         while let Some(seen) = Seen::read(&mut reader) {
             state.change(|state| state.requests.push(seen.clone()));
-            match reply(&seen) {
-                Reply::Whole(text) => drop(stream.write_all(text.as_bytes())),
-                Reply::Raw(text) => {
-                    drop((stream.write_all(text.as_bytes()), stream.shutdown(Shutdown::Write)))
-                }
-                Reply::Pieces(pieces, pause) => {
-                    for piece in pieces {
-                        drop(stream.write_all(piece.as_bytes()));
-                        thread::sleep(pause);
-                    }
-                }
-                Reply::Close => drop(stream.shutdown(Shutdown::Both)),
-                Reply::Silence => {}
-            }
+            reply(&seen).write(&mut stream);
         }
         state.change(|state| state.closed_by_peer += 1);
     }
@@ -230,6 +319,7 @@
         drop(TcpStream::connect(self.addr));
         let listening = self.listening.lock().expect("no panic").take();
         listening.expect("stopped once").join().expect("an end");
+        *self.held.lock().expect("no panic") = Some(hold(self.addr));
     }
 }
 
@@ -242,23 +332,67 @@
     answered: Option<Instant>,
     /// Watches since the last news: the revision they name, and how long after the last answer they came.
     watches: Vec<(u64, Duration)>,
+    /// Nobody is answered.
+    down: bool,
+    /// What it knows since an outage; a watch from another revision on is answered with it at once.
+    since_outage: Option<u64>,
+    open: Vec<TcpStream>,
 }
 
 pub struct Discovery {
-    addr: SocketAddr,
+    pub addr: SocketAddr,
     registry: Arc<Watched<Registry>>,
+    listening: Mutex<(Arc<AtomicBool>, Option<thread::JoinHandle<()>>)>,
+    held: Mutex<Option<Socket>>,
 }
 
 impl Discovery {
+    /// One that has this whole list to tell.
+    pub fn of(revision: u64, members: &[Value]) -> Arc<Discovery> {
+        Arc::new(Discovery::start(&json!({"revision": revision, "complete": true, "members": members})))
+    }
+
     fn start(list: &Value) -> Discovery {
         let registry = Watched::new(Registry { whole: list.to_string(), ..Registry::default() });
-        let of = registry.clone();
-        let (addr, _) = listen(Arc::default(), move |stream| Discovery::serve(stream, &of));
-        Discovery { addr, registry }
+        let (of, stopped) = (registry.clone(), Arc::<AtomicBool>::default());
+        let (addr, listening) = listen(stopped.clone(), move |stream| Discovery::serve(stream, &of));
+        let (listening, held) = (Mutex::new((stopped, Some(listening))), Mutex::default());
+        Discovery { addr, registry, listening, held }
+    }
+
+    /// Watches are broken, and calls refused from now on, or taken and left without an answer.
+    pub fn down(&self, silent: bool) {
+        self.registry.change(|r| r.down = true);
+        if !silent {
+            let mut listening = self.listening.lock().expect("no panic");
+            listening.0.store(true, Ordering::SeqCst);
+            drop(TcpStream::connect(self.addr));
+            listening.1.take().expect("it listens").join().expect("an end");
+            *self.held.lock().expect("no panic") = Some(hold(self.addr));
+        }
+        self.registry.change(|r| r.open.drain(..).for_each(|s| drop(s.shutdown(Shutdown::Both))));
+    }
+
+    /// It is back, and has the list of this revision to tell.
+    pub fn back(&self, revision: u64, members: &[Value]) {
+        self.registry.change(|r| {
+            (r.down, r.since_outage) = (false, Some(revision));
+            r.whole = json!({"revision": revision, "complete": true, "members": members}).to_string();
+            r.watches.clear();
+        });
+        let mut listening = self.listening.lock().expect("no panic");
+        if let Some(held) = self.held.lock().expect("no panic").take() {
+            held.listen(128).expect("it listens");
+            let (of, stopped) = (self.registry.clone(), Arc::<AtomicBool>::default());
+            let serve = move |stream| Discovery::serve(stream, &of);
+            *listening = (stopped.clone(), Some(listen_at(held.into(), stopped, serve).1));
+        }
     }
 
     fn serve(mut stream: TcpStream, registry: &Watched<Registry>) {
-        let mut reader = BufReader::new(stream.try_clone().expect("a clone"));
+        let clone = || stream.try_clone().expect("a clone");
+        let mut reader = BufReader::new(clone());
+        registry.change(|r| r.open.push(clone()));
         while let Some(seen) = Seen::read(&mut reader) {
             let index = seen.line.split_once("index=").map(|(_, rest)| {
                 let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
@@ -269,20 +403,29 @@
                 let since = r.answered.map_or(Duration::ZERO, |at| at.elapsed());
                 r.watches.extend(index.map(|index| (index, since)));
             });
-            let reply = if index.is_some() || !registry.get().next.is_empty() {
-                let held = registry.1.wait_timeout_while(registry.get(), LONG, |r| r.next.is_empty());
-                held.expect("no panic").0.next.pop_front().map(|(_, reply)| reply)
-            } else {
-                Some(Reply::text(200, "", &registry.get().whole))
+            let news = |r: &Registry| index.is_some() && r.since_outage.is_some_and(|at| index != Some(at));
+            let waits = |r: &mut Registry| r.down || index.is_some() && r.next.is_empty() && !news(r);
+            let reply = {
+                let mut r = registry.1.wait_timeout_while(registry.get(), LONG, waits).expect("no panic").0;
+                if news(&r) || index.is_none() && (r.next.is_empty() || r.since_outage.is_some()) {
+                    Some(Reply::text(200, "", &r.whole))
+                } else {
+                    let (told, reply) = r.next.pop_front().unzip();
+                    let told = told.filter(|&revision| revision > 0);
+                    r.since_outage = r.since_outage.map(|at| told.unwrap_or(at));
+                    reply
+                }
             };
             registry.change(|r| r.answered = Some(Instant::now()));
-            match reply {
-                Some(Reply::Whole(text)) => drop(stream.write_all(text.as_bytes())),
-                _ => drop(stream.shutdown(Shutdown::Both)),
-            }
+            reply.unwrap_or(Reply::Close).write(&mut stream);
         }
     }
 
+    /// Waits for a call that comes after so many.
+    pub fn wait_for_call(&self, after: usize) {
+        drop(self.registry.wait("a call", |r| r.calls > after));
+    }
+
     /// How often it was called.
     pub fn calls(&self) -> usize {
         self.registry.get().calls
@@ -297,7 +440,18 @@
         });
     }
 
-    /// The same, and waits for the watch from there on; tells how long after the answer it came.
+    /// The watch that is out is answered with these changes, and so many calls then refused; back with the first.
+    pub fn say_and_refuse(&self, revision: u64, members: &[Value], refused: usize) {
+        let calls = self.registry.change(|r| {
+            let list = json!({"revision": revision, "complete": false, "members": members}).to_string();
+            r.next.push_back((revision, Reply::text(200, "", &list)));
+            r.next.extend((0..refused).map(|_| (0, Reply::text(503, "", ""))));
+            r.calls
+        });
+        self.wait_for_call(calls);
+    }
+
+    /// The same as `say`, and waits for the watch from there on; tells how long after the answer it came.
     pub fn tell(&self, revision: u64, complete: bool, members: &[Value]) -> Duration {
         self.say(revision, complete, members);
         self.wait_for_index(revision)
@@ -332,7 +486,8 @@
 pub fn call(class: &str, budget: f64) -> Call {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let id = format!("call-{}", NUMBER.fetch_add(1, Ordering::SeqCst));
-    let headers = [("Host", "origin.svc"), ("X-Call-Id", id.as_str()), ("X-Call-Class", class)];
+    let (class, caller) = (name_of(class), deployment().tenant);
+    let headers = [("Host", "origin.svc"), ("X-Call-Id", &id), ("X-Call-Class", class), ("X-Caller", caller)];
     let headers = headers.map(|(name, value)| (name.to_owned(), value.to_owned())).to_vec();
     let call = Call { method: "POST", path: "/api".into(), headers, body: String::new() };
     call.header("X-Budget", &budget.to_string())
@@ -403,7 +558,9 @@
     addr: SocketAddr,
     control: Option<SocketAddr>,
     pub discovery: Arc<Discovery>,
-    config: Value,
+    /// What its last start or move was told.
+    pub config: Value,
+    log: Arc<Watched<Vec<String>>>,
     /// Its own, with the configuration; the processes of an upgrade share it.
     dir: Arc<Dir>,
 }
@@ -415,7 +572,9 @@
     fn new() -> Dir {
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{number}", std::process::id()));
+        // A program may include this module more than once.
+        let name = format!("{}-{}-{number}", std::process::id(), module_path!().replace("::", "-"));
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(path.join("tmp")).expect("made");
         Dir(path)
     }
@@ -443,9 +602,25 @@
     let dir = Dir::new();
     let mut config = Sidecar::config(&json!({"revision": 1, "complete": true, "members": []}), "127.0.0.1:9");
     change(&mut config);
-    std::fs::write(dir.config(), config.to_string()).expect("written");
-    let output = Sidecar::command(shell, &dir).stdin(stdin).output().expect("started");
-    assert!(!output.status.success(), "it has not started");
+    failed_start(shell, &dir, stdin, config.to_string().as_bytes())
+}
+
+/// The same of one whose configuration's file has these bytes.
+pub fn start_error_of(bytes: &[u8]) -> String {
+    failed_start(":", &Dir::new(), Stdio::null(), bytes)
+}
+
+fn failed_start(shell: &str, dir: &Dir, stdin: Stdio, config: &[u8]) -> String {
+    std::fs::write(dir.config(), config).expect("written");
+    let mut process =
+        Sidecar::command(shell, dir).stdin(stdin).stderr(Stdio::piped()).spawn().expect("started");
+    let start = Instant::now();
+    while start.elapsed() < LONG && process.try_wait().expect("a child").is_none() {
+        thread::sleep(Duration::from_millis(5));
+    }
+    drop(process.kill());
+    let output = process.wait_with_output().expect("an end");
+    assert_eq!(output.status.code(), Some(1), "it has not started, and has not panicked");
     String::from_utf8(output.stderr).expect("text")
 }
 
@@ -459,6 +634,11 @@
     config["control"] = json!("127.0.0.1:0");
 }
 
+/// It is the only sidecar: at its start it may have several requests out, which one of several may not.
+pub fn alone(config: &mut Value) {
+    config["settings"]["instances"] = json!(1);
+}
+
 /// Two upstreams that reply alike.
 pub fn twins(reply: impl Fn(&Seen) -> Reply + Clone + Send + Sync + 'static) -> [Upstream; 2] {
     [(); 2].map(|()| Upstream::start(reply.clone()))
@@ -478,6 +658,17 @@
     (upstream, sidecar)
 }
 
+/// With lists pushed and asked for, and with a discovery that refuses calls and one that leaves them unanswered.
+pub fn each_outage(play: impl Fn(&'static str, bool) + Sync) {
+    let all = [("pushed", false), ("pushed", true), ("on_request", false), ("on_request", true)];
+    thread::scope(|scope| {
+        for (mode, silent) in all {
+            let play = &play;
+            scope.spawn(move || play(mode, silent));
+        }
+    });
+}
+
 /// Waits until it is so; panics with `what` where that takes too long.
 pub fn wait(what: &str, mut until: impl FnMut() -> bool) {
     let start = Instant::now();
@@ -535,24 +726,48 @@
         Sidecar::spawn(INHERIT, stdin_of(listener), discovery, self.config.clone(), dir)
     }
 
+    /// The same, which may not be ready yet.
+    pub fn beside(&self, listener: &TcpListener) -> Sidecar {
+        let (discovery, dir) = (self.discovery.clone(), self.dir.clone());
+        Sidecar::begin(INHERIT, stdin_of(listener), discovery, self.config.clone(), dir)
+    }
+
+    /// Starts one after this shell command, with `change` made to its configuration.
+    pub fn of(shell: &str, upstreams: &[&Upstream], change: impl FnOnce(&mut Value)) -> Sidecar {
+        Sidecar::launch(Dir::new(), shell, Stdio::null(), upstreams, change)
+    }
+
+    /// Starts its next process at the same address, maybe with other settings. It may not be ready yet.
+    pub fn again(&self, shell: &str, change: impl FnOnce(&mut Value)) -> Sidecar {
+        let (discovery, dir, mut config) = (self.discovery.clone(), self.dir.clone(), self.config.clone());
+        config["listen"] = json!(self.addr.to_string());
+        if let Some(control) = self.control {
+            config["control"] = json!(control.to_string());
+        }
+        change(&mut config);
+        Sidecar::begin(shell, Stdio::null(), discovery, config, dir)
+    }
+
     pub fn with(upstreams: &[&Upstream], change: impl FnOnce(&mut Value)) -> Sidecar {
         Sidecar::launch(Dir::new(), ":", Stdio::null(), upstreams, change)
     }
 
+    /// Starts one for each of these, some at a time.
+    pub fn many<T: Sync>(of: &[T], start: impl Fn(&T) -> Sidecar + Sync) -> Vec<Sidecar> {
+        let start = &start;
+        let batch = |batch: &[T]| -> Vec<Sidecar> {
+            thread::scope(|scope| {
+                let starting: Vec<_> = batch.iter().map(|one| scope.spawn(move || start(one))).collect();
+                starting.into_iter().map(|started| started.join().expect("started")).collect()
+            })
+        };
+        of.chunks(16).flat_map(batch).collect()
+    }
+
     fn config(known: &Value, discovery: &str) -> Value {
         json!({
             "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "5a",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known,
-            "settings": {
-                "areas": ["a"], "skus": ["m"], "zone": 0, "me": 0, "instances": 1, "discovery": "pushed", "tick": 1.0,
-                "policyLimits": {"cancel": true, "mostTries": 4, "retryAfter": true, "maxRetryAfter": 2000.0},
-                "requestClasses": [
-                    {"name": "pay", "idempotency": "fragile", "aim": 5000.0, "deadline": 20000.0},
-                    {"name": "report", "idempotency": "dedup", "group": "cell", "dedupWindow": 7500.0,
-                     "aim": 5000.0, "deadline": 20000.0},
-                    {"name": "look", "idempotency": "retryable", "aim": 5000.0, "deadline": 20000.0},
-                ],
-            },
+            "limits": (deployment().limits)(), "known": known, "settings": (deployment().settings)(),
         })
     }
 
@@ -579,6 +794,18 @@
     }
 
     fn spawn(shell: &str, stdin: Stdio, discovery: Arc<Discovery>, config: Value, dir: Arc<Dir>) -> Sidecar {
+        // A sidecar that watches the list service calls the test's discovery never.
+        let asked = config["settings"]["discovery"] != "pushed" || config.get("discovery_peers").is_some();
+        let sidecar = Sidecar::begin(shell, stdin, discovery, config, dir);
+        sidecar.wait_until("readiness", |sidecar| sidecar.ready() == 200);
+        if !asked {
+            drop(sidecar.discovery.registry.wait("a call", |r| r.watches.iter().any(|w| w.0 == 1)));
+        }
+        sidecar
+    }
+
+    /// Starts one that listens.
+    fn begin(shell: &str, stdin: Stdio, discovery: Arc<Discovery>, config: Value, dir: Arc<Dir>) -> Sidecar {
         std::fs::write(dir.config(), config.to_string()).expect("written");
         let mut command = Sidecar::command(shell, &dir);
         command.env("BALANCER_DISCOVERY", discovery.addr.to_string());
@@ -590,25 +817,40 @@
             control = line.split_once("control on ").and_then(|(_, addr)| addr.parse().ok()).or(control);
             line.split_once("listening on ")?.1.parse().ok()
         });
-        thread::spawn(move || log.for_each(drop));
-        // A sidecar that watches the list service calls the test's discovery never.
-        let asked = config["settings"]["discovery"] != "pushed" || config.get("discovery_peers").is_some();
-        let sidecar = Sidecar { process, addr: addr.expect("it listens"), control, discovery, config, dir };
-        sidecar.wait_until("readiness", |sidecar| sidecar.ready() == 200);
-        if !asked {
-            drop(sidecar.discovery.registry.wait("a call", |r| r.watches.iter().any(|w| w.0 == 1)));
-        }
-        sidecar
+        let said = Watched::new(Vec::new());
+        let of = said.clone();
+        thread::spawn(move || log.map_while(Result::ok).for_each(|line| of.change(|said| said.push(line))));
+        Sidecar { process, addr: addr.expect("it listens"), control, discovery, config, log: said, dir }
     }
 
-    pub fn spoil_config(&self) {
-        std::fs::write(self.dir.config(), "{").expect("written");
+    /// How many lines of its log have this in them.
+    pub fn lines_with(&self, with: &str) -> usize {
+        self.log.get().iter().filter(|line| line.contains(with)).count()
     }
 
-    /// Discovery moves: the file names its new address, and SIGHUP tells of it.
+    /// Waits for a line of its log with this in it.
+    pub fn wait_for_line(&self, with: &str) {
+        drop(self.log.wait(with, |said| said.iter().any(|line| line.contains(with))));
+    }
+
+    /// SIGHUP with a file of these bytes, of which it says one line.
+    pub fn reload_bad(&self, bytes: &[u8]) {
+        let bad = |said: &Vec<String>| said.iter().filter(|line| line.contains("reload: ")).count();
+        let before = bad(&self.log.get());
+        std::fs::write(self.dir.config(), bytes).expect("written");
+        self.signal(Signal::SIGHUP);
+        let said = self.log.wait("a line", |said| bad(said) > before);
+        assert_eq!(said.last().map(|line| line.contains("reload: ")), Some(true), "one line");
+    }
+
+    /// Discovery moves to a new address, where it has this list.
     pub fn move_discovery(&mut self, revision: u64, members: &[Value]) {
-        let whole = json!({"revision": revision, "complete": true, "members": members});
-        self.discovery = Arc::new(Discovery::start(&whole));
+        self.move_to(&Discovery::of(revision, members));
+    }
+
+    /// Discovery moves: the file names its new address, and SIGHUP tells of it.
+    pub fn move_to(&mut self, discovery: &Arc<Discovery>) {
+        self.discovery = discovery.clone();
         self.config["discovery"] = json!(self.discovery.addr.to_string());
         std::fs::write(self.dir.config(), self.config.to_string()).expect("written");
         self.signal(Signal::SIGHUP);
@@ -648,6 +890,7 @@
     pub fn figure(&self, name: &str) -> u64 {
         let (status, text) = self.operate("GET /metrics");
         assert_eq!(status, 200, "{text}");
+        let name = name.split('.').map(|part| name_of(part).replace(' ', "_")).collect::<Vec<_>>().join(".");
         let prefix = format!("edge_balancer.{name}:");
         let value = text.lines().find_map(|line| line.strip_prefix(&prefix)?.split_once('|'));
         value.unwrap_or_else(|| panic!("{name} in {text}")).0.parse().expect("a number")
@@ -686,6 +929,10 @@
         wait(what, || until(self));
     }
 
+    pub fn pid(&self) -> u32 {
+        self.process.id()
+    }
+
     pub fn terminate(&self) {
         self.signal(Signal::SIGTERM);
     }
@@ -694,6 +941,13 @@
         kill(Pid::from_raw(self.process.id() as i32), signal).expect("signalled");
     }
 
+    /// Stops it until SIGCONT; back once it has stopped.
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+        let path = format!("/proc/{}/stat", self.process.id());
+        wait("the stop", || std::fs::read_to_string(&path).expect("its figures").contains(") T "));
+    }
+
     pub fn exit_code(&mut self) -> Option<i32> {
         let mut ended = || self.process.try_wait().expect("a child");
         wait("the end", || ended().is_some());
@@ -720,6 +974,59 @@
     }
 }
 
+/// Clients that hold so many connections to a sidecar and ask for nothing: a closed one is made anew at once.
+/// So many of them have asked once whether it is ready, the others never say anything.
+pub struct Crowd {
+    over: Arc<AtomicBool>,
+    /// All have come once.
+    complete: Arc<AtomicBool>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Crowd {
+    pub fn of(count: usize, asked: usize, at: &Sidecar) -> Crowd {
+        let (over, complete) = <(Arc<AtomicBool>, Arc<AtomicBool>)>::default();
+        let (addr, until, come) = (at.addr, over.clone(), complete.clone());
+        let join = move |i: usize| {
+            let mut stream = TcpStream::connect(addr).ok()?;
+            if i < asked {
+                stream.write_all(b"GET /health/ready HTTP/1.1\r\nHost: n0\r\n\r\n").ok()?;
+            }
+            stream.set_nonblocking(true).ok()?;
+            Some(stream)
+        };
+        let stay = move || {
+            let mut all: Vec<Option<TcpStream>> = (0..count).map(|_| None).collect();
+            while !until.load(Ordering::SeqCst) {
+                for (i, one) in all.iter_mut().enumerate() {
+                    let ended = |stream: &mut TcpStream| match stream.read(&mut [0; 1024]) {
+                        Ok(count) => count == 0,
+                        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+                    };
+                    if one.as_mut().is_none_or(ended) {
+                        *one = None;
+                        *one = join(i);
+                    }
+                }
+                come.store(true, Ordering::SeqCst);
+                thread::sleep(Duration::from_millis(2));
+            }
+        };
+        Crowd { over, complete, thread: Some(thread::spawn(stay)) }
+    }
+
+    pub fn is_complete(&self) -> bool {
+        self.complete.load(Ordering::SeqCst)
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::SeqCst);
+        drop(self.thread.take().map(thread::JoinHandle::join));
+    }
+}
+
 impl Drop for Sidecar {
     fn drop(&mut self) {
         drop(self.process.kill());
