An ending sidecar answers before it may be killed, and ends over nothing owed

Cause: nothing in the process knew when SIGKILL may come. A request taken after SIGTERM kept all of its own time, and the process listened on for as long as anything was out; so what came 0.95 to 1.3 s after SIGTERM with 2.2 s to go was due after the kill, 3.1 s after SIGTERM. The other way round, with short deadlines or a long answer, the process ended after 3.6 s, or as soon as it was quiet, over what it still owed.

Change: Life knows the earliest SIGKILL (longest deadline of the settings, 3 s at most, and 0.7 s). What is taken after SIGTERM is answered 0.35 s before that, twice the time that a process may be held up; a body that goes up does not put that off. The process listens until 0.1 s before the kill at the latest, then closes what is idle and stays until nothing is owed.

--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -43,6 +43,8 @@
     /// still to come.
     budget: Duration,
     answer_by: Option<Instant>,
+    /// Until when it is answered however long its body takes: the process may be killed then.
+    at_the_latest: Option<Instant>,
     /// Gone once the client has its answer or has left.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Flight>,
@@ -225,9 +227,11 @@
         let (outbound, budget) = (Arc::new(inbound.outbound), inbound.budget);
         let by = ends.checked_sub(ANSWER_MARGIN).unwrap_or(now);
         let (answer, answer_by, attempts) = (Some(answer), Some(by), Vec::new());
-        let Inbound { class, tenant, cost, origin, .. } = inbound;
-        self.requests.insert(id, Owed { outbound, class, tenant, budget, answer_by, answer, attempts });
+        let Inbound { class, tenant, cost, origin, answer_by: at_the_latest, .. } = inbound;
+        let owed = Owed { outbound, class, tenant, budget, answer_by, at_the_latest, answer, attempts };
+        self.requests.insert(id, owed);
         self.timers.push(Reverse((by, Due::Backstop(id))));
+        self.timers.extend(at_the_latest.map(|by| Reverse((by, Due::Backstop(id)))));
         let patience = ends.saturating_duration_since(now).saturating_sub(2 * ANSWER_MARGIN);
         let turned_away = self.balancer.turned_away();
         let counted = self.part.as_mut().filter(|_| origin == Origin::Fresh);
@@ -248,12 +252,13 @@
         };
         match step {
             Step::Uploading => {
-                owed.answer_by = None;
+                owed.answer_by = owed.at_the_latest;
                 self.handle_event(Event::Uploading { id, attempt });
             }
             Step::Uploaded => {
                 flight.sent = Instant::now();
                 let by = flight.sent + owed.budget.saturating_sub(ANSWER_MARGIN);
+                let by = owed.at_the_latest.map_or(by, |latest| by.min(latest));
                 owed.answer_by = Some(by);
                 self.timers.push(Reverse((by, Due::Backstop(id))));
                 self.handle_event(Event::Uploaded { id, attempt });
@@ -501,7 +506,7 @@
         };
         let (since, budget) = (Instant::now(), Duration::from_millis(200));
         let (cost, tenant, origin) = (None, None, Origin::Fresh);
-        let inbound = Inbound { outbound, class: 0, tenant, cost, origin, budget, since };
+        let inbound = Inbound { outbound, class: 0, tenant, cost, origin, budget, since, answer_by: None };
         let answer = tokio::time::timeout(Duration::from_secs(30), handle.ask(inbound)).await;
         assert!(matches!(answer.expect("an answer"), Answer::Failed));
         assert!(since.elapsed() >= budget - ANSWER_MARGIN, "the module had its time");
--- a/src/bin/juniperspoke/handle.rs
+++ b/src/bin/juniperspoke/handle.rs
@@ -32,6 +32,8 @@
     /// How long the client waits, and when that began as far as can be told.
     pub budget: Duration,
     pub since: Instant,
+    /// Until when it is answered in any case: the process may be killed then.
+    pub answer_by: Option<Instant>,
 }
 
 pub enum Happening {
--- a/src/bin/juniperspoke/life.rs
+++ b/src/bin/juniperspoke/life.rs
@@ -10,6 +10,10 @@
 /// sends often has had an answer that closes its connection; the front sends newcomers for 0.3 s more.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// Kept back of the time until SIGKILL: the process may be held up for 0.15 s before it hears of SIGTERM, and again
+/// before it writes.
+const KILL_MARGIN: Duration = Duration::from_millis(350);
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
     Serving,
@@ -17,11 +21,21 @@
     Ending,
 }
 
-/// The stage, and when connections of clients that stand idle are to be closed.
+/// The stage, and what it asks of the connections of clients.
 #[derive(Clone, Copy, Debug)]
 pub struct Now {
     pub stage: Stage,
+    /// When those that stand idle are to be closed.
     pub close_idle: Option<Instant>,
+    /// New clients are waited for no more: connections that have carried nothing are closed as well.
+    pub close_all: bool,
+    /// In a process that ends: until when a request that is taken now has to be answered, whatever time its client
+    /// has, since the process may be killed then.
+    pub answer_by: Option<Instant>,
+}
+
+impl Now {
+    const SERVING: Now = Now { stage: Stage::Serving, close_idle: None, close_all: false, answer_by: None };
 }
 
 /// The one place that knows the stage of the process.
@@ -29,11 +43,15 @@
 
 impl Life {
     pub fn new() -> Life {
-        Life(watch::Sender::new(Now { stage: Stage::Serving, close_idle: None }))
+        Life(watch::Sender::new(Now::SERVING))
     }
 
     pub fn stage(&self) -> Stage {
-        self.0.borrow().stage
+        self.now().stage
+    }
+
+    pub fn now(&self) -> Now {
+        *self.0.borrow()
     }
 
     pub fn watch(&self) -> watch::Receiver<Now> {
@@ -50,17 +68,24 @@
         self.0.send_if_modified(|now| {
             let draining = now.stage == Stage::Draining;
             if draining {
-                *now = Now { stage: Stage::Serving, close_idle: None };
+                *now = Now::SERVING;
             }
             draining
         });
     }
 
-    /// Sends clients away for good.
-    pub fn end(&self) {
+    /// Sends clients away for good. The process may be killed after this time.
+    pub fn end(&self, kill_after: Duration) {
+        let answer_by = Instant::now() + kill_after.saturating_sub(KILL_MARGIN);
+        self.0.send_modify(|now| now.answer_by = Some(answer_by));
         self.leave(Stage::Ending, |stage| stage != Stage::Ending);
     }
 
+    /// New clients are waited for no more.
+    pub fn close_all(&self) {
+        self.0.send_modify(|now| now.close_all = true);
+    }
+
     fn leave(&self, to: Stage, from: impl Fn(Stage) -> bool) {
         self.0.send_if_modified(|now| {
             let leaves = from(now.stage);
@@ -118,9 +143,13 @@
         life.undrain();
         assert_eq!((life.stage(), life.watch().borrow().close_idle), (Stage::Serving, None));
         life.drain();
-        life.end();
+        let kill_after = 3 * KILL_MARGIN;
+        life.end(kill_after);
         life.undrain();
         life.drain();
         assert_eq!(life.stage(), Stage::Ending);
+        advance(KILL_MARGIN).await;
+        let left = life.now().answer_by.expect("a bound") - Instant::now();
+        assert_eq!(left, kill_after - 2 * KILL_MARGIN);
     }
 }
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -40,6 +40,7 @@
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 use tracing_subscriber::EnvFilter;
 use upstream::{BUFFER, Upstreams};
@@ -56,9 +57,14 @@
 const QUIET: Duration = Duration::from_millis(250);
 /// How often an ending sidecar looks whether it is done.
 const LOOK: Duration = Duration::from_millis(20);
-/// Guards against one who asks without end whether it is still there. Whoever came with the newcomers has had
-/// an answer by then: the longest deadline is 3 s.
-const DRAINED: Duration = Duration::from_millis(3_600);
+/// SIGKILL follows SIGTERM after the longest deadline, of which no more than this counts, and the grace.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
+const KILL_GRACE: Duration = Duration::from_millis(700);
+/// New connections are accepted until so long before SIGKILL. Guards against one who asks without end whether the
+/// process is still there.
+const LISTEN_MARGIN: Duration = Duration::from_millis(100);
+/// A process that nobody kills ends by itself after this time, whatever a peer holds open.
+const END_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The sidecar beside an application: sends each of its requests to an upstream. What it is told at its start
 /// comes from the environment.
@@ -100,6 +106,13 @@
     }
 }
 
+/// The earliest SIGKILL after SIGTERM. Deadlines that the settings don't name are long.
+fn kill_after(config: &Config) -> Duration {
+    let longest = config.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    let counted = if longest.is_zero() { LONGEST_DEADLINE } else { longest.min(LONGEST_DEADLINE) };
+    counted + KILL_GRACE
+}
+
 async fn run(inherited: Option<TcpListener>) -> Result<(), StartError> {
     let (mut term, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let config = Arc::new(Config::from_env()?);
@@ -144,9 +157,11 @@
     let life = Arc::new(Life::new());
     let server =
         Server::new(config.clone(), handle.clone(), life.clone(), metrics.clone(), budget, clients.max(1));
+    let mut operators = None;
     if let Some(listener) = control {
         tracing::info!("{}: control on {}", config.name, listener.local_addr()?);
-        tokio::spawn(Control::new(life.clone(), metrics, handle.clone(), bans.clone()).listen(listener));
+        let control = Control::new(life.clone(), metrics, handle.clone(), bans.clone());
+        operators = Some(tokio::spawn(control.listen(listener)));
     }
     let mut driving = tokio::spawn(driver.run(known, beside));
     // Before the first request: the driver takes what it is told in order.
@@ -174,14 +189,23 @@
             return Err(io::Error::other(format!("the driver ended: {ended:?}")).into());
         }
     }
-    life.end();
-    let since = Instant::now();
+    let (since, kill_after) = (Instant::now(), kill_after(&config));
+    life.end(kill_after);
+    let listen_for = kill_after.saturating_sub(LISTEN_MARGIN);
     // Newcomers to a socket that the platform holds are its other process's; nobody else has those to this one's.
     if shared {
         listening.abort();
     }
     let over = || if shared { server.is_empty() } else { server.is_quiet(QUIET) };
-    while !shared && since.elapsed() < NEWCOMERS || since.elapsed() < DRAINED && !over() {
+    while !shared && since.elapsed() < NEWCOMERS || since.elapsed() < listen_for && !over() {
+        sleep(LOOK).await;
+    }
+    // What is owed then has its time: an end over it would lose what SIGKILL may find unanswered.
+    life.close_all();
+    server.stop();
+    // The next process at these addresses waits for both; where another ran beside this one, it has a door of its own.
+    operators.filter(|_| !shared).inspect(JoinHandle::abort);
+    while since.elapsed() < END_TIMEOUT && !(listening.is_finished() && server.is_empty()) {
         sleep(LOOK).await;
     }
     Ok(())
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -54,6 +54,9 @@
 const SPARE: usize = 16;
 /// Where there is no room, another connection is asked after this time to give way.
 const GIVE_WAY: Duration = Duration::from_secs(1);
+/// Connections that have come before the end of listening are accepted for so long at most. Guards against clients who
+/// come again as fast as they are sent away: the next process waits for the address.
+const STOP_GRACE: Duration = Duration::from_millis(100);
 /// How long the client may let us wait for a body before its bytes have paid for more. Small pieces with pauses
 /// are legal. Whoever connects is owed an error or a close within 3 s, so a newcomer's waits end before that.
 const BODY_PATIENCE: Duration = Duration::from_secs(2);
@@ -99,6 +102,8 @@
     /// All that are open.
     open: AtomicUsize,
     accepted: watch::Sender<Instant>,
+    /// No more connections are accepted.
+    stopped: watch::Sender<bool>,
     budget: Budget,
 }
 
@@ -119,10 +124,21 @@
             used: AtomicUsize::new(0),
             open: AtomicUsize::new(0),
             accepted: watch::Sender::new(Instant::now()),
+            stopped: watch::Sender::new(false),
             budget,
         })
     }
 
+    /// Accepts the connections that are waiting already, and none after.
+    pub fn stop(&self) {
+        self.stopped.send_replace(true);
+    }
+
+    async fn stopped(&self) {
+        // It fails only without a sender, which is here.
+        let _ = self.stopped.subscribe().wait_for(|stopped| *stopped).await;
+    }
+
     /// Is every answer written, and has nobody come for so long?
     pub fn is_quiet(&self, newcomers: Duration) -> bool {
         self.used.load(Ordering::Relaxed) == 0 && self.accepted.borrow().elapsed() >= newcomers
@@ -134,10 +150,26 @@
     }
 
     pub async fn listen(self: Arc<Self>, listener: TcpListener) {
+        let over = async {
+            self.stopped().await;
+            sleep(STOP_GRACE).await;
+        };
+        tokio::select! {
+            () = self.take(&listener) => {}
+            () = over => {}
+        }
+    }
+
+    async fn take(self: &Arc<Self>, listener: &TcpListener) {
         let mut failing = false;
         loop {
             let permit = self.permit().await;
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                accepted = listener.accept() => accepted,
+                () = self.stopped() => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     failing = false;
                     self.accepted.send_replace(Instant::now());
@@ -199,14 +231,14 @@
                 biased;
                 // Whatever ends it, whoever waited on it has left.
                 _ = connection.as_mut() => break,
-                Ok(()) = life.changed() => continue,
+                Ok(()) = life.changed() => if !life.borrow().close_all { continue },
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => closed = due,
                 // A newcomer whose first request is on its way is not asked.
                 () = begun.notified(), if !used.load(Ordering::Relaxed) => continue,
                 () = self.give_way.notified(), if used.load(Ordering::Relaxed) && !gives_way => gives_way = true,
             }
             // Guards against closing on a newcomer whose first request is on its way.
-            if used.load(Ordering::Relaxed) {
+            if used.load(Ordering::Relaxed) || life.borrow().close_all {
                 connection.as_mut().graceful_shutdown();
             }
         }
@@ -286,6 +318,8 @@
             Intake::new(body, patience).read(|bytes| self.budget.take(bytes)).await.map_err(improper)?;
         // A client's time runs from its last byte.
         let since = Instant::now();
+        let answer_by = self.life.now().answer_by;
+        let budget = answer_by.map_or(budget, |by| budget.min(by.saturating_duration_since(since)));
         if idempotency == Idempotency::Idempotent
             && !matches!(&body, RequestBody::Held(bytes) if bytes.is_empty())
         {
@@ -299,7 +333,7 @@
         KEPT_BACK.iter().for_each(|name| drop(headers.remove(*name)));
         headers.entry(HOST).or_insert(HeaderValue::from_static("origin.svc"));
         let outbound = Outbound { method: head.method, uri: head.uri, headers, body };
-        Ok(Inbound { outbound, class, tenant, cost, origin, budget, since })
+        Ok(Inbound { outbound, class, tenant, cost, origin, budget, since, answer_by })
     }
 }
 
