A close of a client's connection resets no answer and drops nothing it has read

What callers saw: an answer lost with a reset, a request half read as idle connections closed that got no answer, and, after an error, no error.

Cause: the socket was closed at once. The system resets a connection that is closed over unread bytes, and takes what was written along; and the HTTP library's shutdown dropped a head of which a part had come.

Change: the sending side is shut first, and what still comes is read and dropped for up to 0.5 s. A connection that closes reads nothing beyond the request that has begun; that one, read or still in the socket, is answered first, and its answer says that the connection closes. A head that begins behind another in one piece has a time of its own.

--- a/src/bin/juniperspoke/framing.rs
+++ b/src/bin/juniperspoke/framing.rs
@@ -32,7 +32,10 @@
     twofold: bool,
     /// For each head read whole and not yet asked for: does it name two framings?
     verdicts: VecDeque<bool>,
-    has_read_one: bool,
+    /// Heads read whole.
+    heads: u64,
+    /// Nothing is read any more beyond the request that is being read.
+    closing: bool,
 }
 
 impl Framing {
@@ -45,7 +48,8 @@
             chunked: false,
             twofold: false,
             verdicts: VecDeque::new(),
-            has_read_one: false,
+            heads: 0,
+            closing: false,
         }
     }
 
@@ -54,9 +58,14 @@
         self.at == At::Head
     }
 
-    /// Has any head been read whole?
-    pub fn has_read_one(&self) -> bool {
-        self.has_read_one
+    /// Has anything of a request been read that has not been asked for yet?
+    pub fn has_next(&self) -> bool {
+        self.in_head() || !self.verdicts.is_empty()
+    }
+
+    /// How many heads have been read whole.
+    pub fn heads(&self) -> u64 {
+        self.heads
     }
 
     /// Does the next head, in the order in which they came, name two framings?
@@ -64,6 +73,24 @@
         self.verdicts.pop_front().unwrap_or(false)
     }
 
+    /// From now on nothing is read beyond the request that is being read.
+    pub fn close(&mut self) {
+        self.closing = true;
+    }
+
+    pub fn is_closing(&self) -> bool {
+        self.closing
+    }
+
+    /// How much may be read at once. Guards, once it closes, against reading what would be dropped.
+    pub fn room(&self) -> usize {
+        match self.at {
+            _ if !self.closing => usize::MAX,
+            At::Body(left) | At::Chunk(left) => usize::try_from(left).unwrap_or(usize::MAX),
+            _ => 1,
+        }
+    }
+
     /// Takes in what has been read.
     pub fn read(&mut self, mut bytes: &[u8]) {
         while let Some((&first, rest)) = bytes.split_first() {
@@ -129,7 +156,7 @@
     }
 
     fn head_ended(&mut self) {
-        self.has_read_one = true;
+        self.heads += 1;
         self.verdicts.push_back(std::mem::take(&mut self.twofold));
         self.at = match (std::mem::take(&mut self.chunked), self.length.take()) {
             (true, _) => At::Size,
@@ -172,6 +199,9 @@
             framing.read(text.as_bytes());
             assert_eq!(framing.in_head(), in_head, "{text:?}");
         }
+        assert!(framing.has_next(), "read, and not asked for");
+        framing.next_is_twofold();
+        assert!(!framing.has_next());
     }
 
     #[test]
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -1,12 +1,16 @@
-//! Sockets of peers that have to make progress: who takes nothing, or never ends a head, is cut.
+//! Sockets of peers that have to make progress: who takes nothing, or never ends a head, is cut. A client's is
+//! closed in such a way that it has what was written.
 
 use crate::framing::Framing;
-use std::io::{self, IoSlice};
+use socket2::SockRef;
+use std::io::{self, IoSlice, Read};
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep, sleep_until};
 
@@ -15,6 +19,10 @@
 /// A legal head takes up to 2 s.
 const HEAD_PATIENCE: Duration = Duration::from_millis(2_300);
 
+/// A client that is closed on has this time to close as well. What it sends meanwhile is dropped: a close over
+/// unread bytes would reset the connection, and take the last answer along.
+const LINGER: Duration = Duration::from_millis(500);
+
 /// A limit on one wait after another.
 #[derive(Default)]
 pub struct Limit(Option<Pin<Box<Sleep>>>);
@@ -35,18 +43,56 @@
     io::Error::new(io::ErrorKind::TimedOut, what)
 }
 
+/// What has been read on a client's connection.
+struct Known {
+    framing: Framing,
+}
+
 /// What is known of the heads on a client's connection.
 #[derive(Clone)]
-pub struct Heads(Arc<Mutex<Framing>>);
+pub struct Heads(Arc<Mutex<Known>>);
 
 impl Heads {
-    fn framing(&self) -> MutexGuard<'_, Framing> {
+    fn new() -> Heads {
+        Heads(Arc::new(Mutex::new(Known { framing: Framing::new() })))
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Does the next head, in the order in which they came, name two framings?
     pub fn next_is_twofold(&self) -> bool {
-        self.framing().next_is_twofold()
+        self.known().framing.next_is_twofold()
+    }
+
+    /// Has anything of a request been read that has not been asked for yet?
+    pub fn has_next(&self) -> bool {
+        self.known().framing.has_next()
+    }
+
+    /// The connection closes with the last answer to what has been read; nothing is read beyond that.
+    pub fn close(&self) {
+        self.known().framing.close();
+    }
+
+    pub fn is_closing(&self) -> bool {
+        self.known().framing.is_closing()
+    }
+}
+
+/// A client's socket, beside the connection that reads and writes it.
+pub struct Socket(Arc<TcpStream>);
+
+impl Socket {
+    /// The socket is asked: its events may not tell of what has come yet.
+    fn peek(&self) -> io::Result<usize> {
+        SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()])
+    }
+
+    /// Has anything come that has not been read?
+    pub fn has_more(&self) -> bool {
+        self.peek().is_ok_and(|count| count > 0)
     }
 }
 
@@ -60,21 +106,72 @@
 
 /// A socket whose other side has to take what is written, and if it is a client's has to end its heads.
 pub struct Peer {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     writing: Limit,
     reading: Option<Patience>,
+    /// Begun once nothing more is written.
+    lingering: Option<Limit>,
 }
 
 impl Peer {
     pub fn upstream(stream: TcpStream) -> Peer {
-        Peer { stream, writing: Limit::default(), reading: None }
+        Peer::new(Arc::new(stream), None)
     }
 
-    pub fn client(stream: TcpStream) -> (Peer, Heads) {
-        let heads = Heads(Arc::new(Mutex::new(Framing::new())));
+    pub fn client(stream: TcpStream) -> (Peer, Heads, Socket) {
+        let (stream, heads) = (Arc::new(stream), Heads::new());
         let first_by = Some(Instant::now() + HEAD_PATIENCE);
-        let reading = Some(Patience { heads: heads.clone(), limit: Limit::default(), first_by });
-        (Peer { stream, writing: Limit::default(), reading }, heads)
+        let reading = Patience { heads: heads.clone(), limit: Limit::default(), first_by };
+        (Peer::new(stream.clone(), Some(reading)), heads, Socket(stream))
+    }
+
+    fn new(stream: Arc<TcpStream>, reading: Option<Patience>) -> Peer {
+        Peer { stream, writing: Limit::default(), reading, lingering: None }
+    }
+
+    /// Reads what there is, up to so much; nothing at the end.
+    fn poll_bytes(
+        stream: &TcpStream, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>, most: usize,
+    ) -> Poll<io::Result<()>> {
+        let most = most.min(buffer.remaining());
+        loop {
+            ready!(stream.poll_read_ready(context))?;
+            let (bytes, mut read) = (buffer.initialize_unfilled_to(most), None);
+            let asked = stream.try_io(Interest::READABLE, || {
+                let count = (&*SockRef::from(stream)).read(bytes)?;
+                read = Some(count);
+                // It has given all that it had: an event tells of more, and it is not asked in vain before.
+                if (1..most).contains(&count) { Err(io::ErrorKind::WouldBlock.into()) } else { Ok(()) }
+            });
+            match (read, asked) {
+                (Some(count), _) => {
+                    buffer.advance(count);
+                    return Poll::Ready(Ok(()));
+                }
+                (None, Err(error)) if error.kind() != io::ErrorKind::WouldBlock => {
+                    return Poll::Ready(Err(error));
+                }
+                (None, _) => {}
+            }
+        }
+    }
+
+    /// Writes by this once there is room for it.
+    fn poll_write_by(
+        &mut self, context: &mut Context<'_>, write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        let done = loop {
+            match self.stream.poll_write_ready(context) {
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(error)) => break Poll::Ready(Err(error)),
+                Poll::Pending => break Poll::Pending,
+            }
+            match write(&self.stream) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => break Poll::Ready(written),
+            }
+        };
+        self.written(done, context)
     }
 
     /// Guards against a peer that takes nothing: it would hold its connection, and what waits behind it, for ever.
@@ -96,15 +193,19 @@
     ) -> Poll<io::Result<()>> {
         let peer = self.get_mut();
         let before = buffer.filled().len();
-        let done = Pin::new(&mut peer.stream).poll_read(context, buffer);
-        let Some(Patience { heads, limit, first_by }) = &mut peer.reading else { return done };
-        let mut framing = heads.framing();
+        let Some(Patience { heads, limit, first_by }) = &mut peer.reading else {
+            return Peer::poll_bytes(&peer.stream, context, buffer, usize::MAX);
+        };
+        let Known { framing } = &mut *heads.known();
+        let done = Peer::poll_bytes(&peer.stream, context, buffer, framing.room());
         if done.is_ready() {
+            let heads = framing.heads();
             framing.read(&buffer.filled()[before..]);
-            if framing.has_read_one() {
+            if framing.heads() > 0 {
                 *first_by = None;
             }
-            if !framing.in_head() {
+            // The next head has a time of its own, also where it begins in the same piece.
+            if !framing.in_head() || framing.heads() > heads {
                 limit.over();
             }
             return done;
@@ -121,26 +222,90 @@
     fn poll_write(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.written(done, context)
+        self.poll_write_by(context, |stream| stream.try_write(bytes))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    /// Ends the sending. Guards against a reset that takes from a client what it has not read yet: what it still
+    /// sends is read, and goes nowhere, until it closes as well or has had its time.
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Peer { stream, reading, lingering, .. } = self.get_mut();
+        if lingering.is_none() {
+            SockRef::from(&**stream).shutdown(Shutdown::Write)?;
+        }
+        let limit = lingering.get_or_insert_default();
+        if reading.is_none() {
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            // First: who sends without end is not heard without end.
+            if limit.poll(|| Instant::now() + LINGER, context).is_ready() {
+                return Poll::Ready(Ok(()));
+            }
+            let mut bytes = [0; 4096];
+            let mut dropped = ReadBuf::new(&mut bytes);
+            match ready!(Peer::poll_bytes(stream, context, &mut dropped, usize::MAX)) {
+                Ok(()) if !dropped.filled().is_empty() => {}
+                _ => return Poll::Ready(Ok(())),
+            }
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>, context: &mut Context<'_>, parts: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
-        self.written(done, context)
+        self.poll_write_by(context, |stream| stream.try_write_vectored(parts))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::future::poll_fn;
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+    use tokio::time::timeout;
+
+    #[tokio::test]
+    async fn a_socket_that_has_given_all_is_not_asked_again_before_it_tells_of_more() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let (client, accepted) = tokio::join!(TcpStream::connect(addr), listener.accept());
+        let (client, mut peer) = (client.expect("accepted"), Peer::upstream(accepted.expect("one").0));
+        let mut bytes = [0; 4];
+        client.try_write(b"fourx").expect("written");
+        assert_eq!(peer.read(&mut bytes).await.expect("some"), 4);
+        let mut at_once = async || {
+            let mut read = Box::pin(peer.read(&mut bytes));
+            poll_fn(|context| Poll::Ready(read.as_mut().poll(context))).await
+        };
+        assert!(matches!(at_once().await, Poll::Ready(Ok(1))), "there may be more");
+        // The runtime does not look at the socket in between.
+        client.try_write(b"y").expect("written");
+        assert!(at_once().await.is_pending(), "asked without need");
+        assert_eq!(peer.read(&mut bytes).await.expect("the rest"), 1);
+        drop(client);
+        assert_eq!(peer.read(&mut bytes).await.expect("the end"), 0);
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_head_that_begins_behind_another_has_a_time_of_its_own() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let (client, accepted) = tokio::join!(TcpStream::connect(addr), listener.accept());
+        let (client, (mut peer, ..)) = (client.expect("accepted"), Peer::client(accepted.expect("one").0));
+        let (mut bytes, late) = ([0; 99], HEAD_PATIENCE - Duration::from_millis(99));
+        assert!(timeout(late, peer.read(&mut bytes)).await.is_err(), "nothing has come");
+        client.try_write(b"GET / HTTP/1.1\r\n\r\nGET").expect("written");
+        assert_eq!(peer.read(&mut bytes).await.expect("one, and more"), 21);
+        assert!(timeout(late, peer.read(&mut bytes)).await.is_err(), "it may still end");
+        assert!(peer.read(&mut bytes).await.is_err(), "but not without end");
     }
 }
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -9,7 +9,7 @@
 use crate::handle::{Answer, Handle, Inbound};
 use crate::life::{Life, Stage};
 use crate::metrics::{Ending, Metrics, Ticket};
-use crate::peer::Peer;
+use crate::peer::{Heads, Peer, Socket};
 use crate::upstream::{BUFFER, Outbound};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -107,6 +107,12 @@
     budget: Budget,
 }
 
+/// A client's connection, as its requests see it.
+struct Connection {
+    heads: Heads,
+    socket: Socket,
+}
+
 impl Server {
     pub fn new(
         config: Arc<Config>, driver: Handle, life: Arc<Life>, metrics: Arc<Metrics>, budget: Budget,
@@ -209,15 +215,16 @@
         // Without it answers are merely slower.
         drop(stream.set_nodelay(true));
         let (used, begun, since) = (AtomicBool::new(false), Notify::new(), Instant::now());
-        let (peer, heads) = Peer::client(stream);
+        let (peer, heads, socket) = Peer::client(stream);
+        let open = Arc::new(Connection { heads, socket });
         let service = service_fn(|request| {
             let newcomer = (!used.swap(true, Ordering::Relaxed)).then_some(since);
             if newcomer.is_some() {
                 self.used.fetch_add(1, Ordering::Relaxed);
                 begun.notify_one();
             }
-            let (server, twofold) = (self.clone(), heads.next_is_twofold());
-            async move { Ok::<_, Infallible>(server.answer(request, twofold, newcomer).await) }
+            let (server, open, twofold) = (self.clone(), open.clone(), open.heads.next_is_twofold());
+            async move { Ok::<_, Infallible>(server.answer(request, &open, twofold, newcomer).await) }
         });
         let (mut life, mut closed, mut gives_way) = (self.life.watch(), None, false);
         let mut http = http1::Builder::new();
@@ -237,9 +244,13 @@
                 () = begun.notified(), if !used.load(Ordering::Relaxed) => continue,
                 () = self.give_way.notified(), if used.load(Ordering::Relaxed) && !gives_way => gives_way = true,
             }
-            // Guards against closing on a newcomer whose first request is on its way.
+            // Guards against closing on a newcomer whose first request is on its way, ...
             if used.load(Ordering::Relaxed) || life.borrow().close_all {
-                connection.as_mut().graceful_shutdown();
+                open.heads.close();
+                // ... and on what has come of a request, read or not: its answer closes.
+                if !open.heads.has_next() && !open.socket.has_more() {
+                    connection.as_mut().graceful_shutdown();
+                }
             }
         }
         if used.load(Ordering::Relaxed) {
@@ -249,7 +260,7 @@
 
     /// `newcomer` is when its connection came, if it is the first there.
     async fn answer(
-        &self, request: Request<Incoming>, twofold: bool, newcomer: Option<Instant>,
+        &self, request: Request<Incoming>, on: &Connection, twofold: bool, newcomer: Option<Instant>,
     ) -> Response<Reply> {
         let mut response = match request.uri().path() {
             "/health/ready" => {
@@ -261,7 +272,11 @@
                 Err((status, why)) => plain(status, why),
             },
         };
-        if twofold || self.life.stage() != Stage::Serving {
+        if self.life.stage() != Stage::Serving {
+            on.heads.close();
+        }
+        // Guards against dropping a request that has been read behind this one.
+        if twofold || on.heads.is_closing() && !on.heads.has_next() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
