No attempt begins for a client that has left, and who half-closes is answered

Cause: the end of a client's sending was noticed by the HTTP library alone, which reads no further while a request is out and has more bytes behind it, and takes a half-close for a disconnect. And an attempt that waited for its connection asked nobody before it was written.

Change: leaving.rs notes when a client's sending ended, seen at the socket itself.

--- a/src/bin/juniperspoke/bodies.rs
+++ b/src/bin/juniperspoke/bodies.rs
@@ -183,6 +183,12 @@
         self.sent.subscribe()
     }
 
+    /// Waits until its last byte has been read.
+    pub async fn read_whole(&self) {
+        // Without an end only if this goes.
+        drop(self.sent().wait_for(|sent| *sent == Sent::Whole).await);
+    }
+
     /// What the client has done wrong, if it has.
     pub fn fault(&self) -> Option<BodyError> {
         match *self.sent.borrow() {
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -50,6 +50,19 @@
     attempts: Vec<Flight>,
 }
 
+impl Owed {
+    /// From now on nothing is owed, and nothing more begins for it.
+    fn settle(&mut self) -> Option<oneshot::Sender<Answer>> {
+        self.outbound.end.settle();
+        self.answer.take()
+    }
+
+    /// Is it unanswered, and has its client not left either, as far as is known?
+    fn is_wanted(&self) -> bool {
+        self.answer.as_ref().is_some_and(|to| !to.is_closed())
+    }
+}
+
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Module(TimerId),
@@ -171,7 +184,7 @@
         match happening {
             Happening::Request(id, inbound, answer) => self.accept(id, *inbound, answer),
             Happening::HungUp(id) => {
-                let owed = self.requests.get_mut(&id).and_then(|owed| owed.answer.take());
+                let owed = self.requests.get_mut(&id).and_then(Owed::settle);
                 if owed.is_some() {
                     self.handle_event(Event::HungUp(id));
                     self.forget(id);
@@ -306,7 +319,7 @@
     }
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        if let Some(to) = self.requests.get_mut(&id).and_then(|owed| owed.answer.take()) {
+        if let Some(to) = self.requests.get_mut(&id).and_then(Owed::settle) {
             // A client that has just left needs none.
             drop(to.send(answer));
         }
@@ -394,11 +407,13 @@
         let owed = self.requests.get_mut(&id)?;
         let attempt = owed.attempts.len();
         let now = Instant::now();
-        // Guards against sends after the end, and to an upstream that the list has taken back.
-        let target = self.servers.get(&server).filter(|_| owed.answer.is_some()).cloned();
+        // Guards against sends after the end, also one that is still to be told, for a client that may have left, and
+        // to an upstream that the list has taken back.
+        let begins = owed.is_wanted() && owed.outbound.end.lets_begin();
+        let target = self.servers.get(&server).filter(|_| begins).cloned();
         let Some(target) = target else {
             owed.attempts.push(Flight { sent: now, out: None, zone: u16::MAX, counted: false });
-            let progress = if owed.answer.is_some() { Progress::Owed } else { Progress::Ended };
+            let progress = if owed.is_wanted() { Progress::Owed } else { Progress::Ended };
             let (outcome, took) = (Outcome::Moot, Duration::ZERO);
             return Some(Event::Outcome { id, attempt, outcome, took, progress });
         };
@@ -503,6 +518,7 @@
             uri: Uri::from_static("/api"),
             headers: HeaderMap::new(),
             body: RequestBody::Held(Bytes::new()),
+            end: crate::leaving::RequestEnd::never(),
         };
         let (since, budget) = (Instant::now(), Duration::from_millis(200));
         let (cost, tenant, origin) = (None, None, Origin::Fresh);
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -14,6 +14,7 @@
 mod handle;
 mod idle;
 mod instances;
+mod leaving;
 mod life;
 mod list;
 mod listener;
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -90,10 +90,25 @@
         SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()])
     }
 
+    /// Has the client ended its sending, with nothing of it left to be read?
+    pub fn has_ended(&self) -> bool {
+        self.peek().is_ok_and(|count| count == 0)
+    }
+
     /// Has anything come that has not been read?
     pub fn has_more(&self) -> bool {
         self.peek().is_ok_and(|count| count > 0)
     }
+
+    /// Waits until the client has ended its sending, whatever of it is still unread.
+    pub async fn ended(&self) {
+        // Of what is waited for, only the end is reported.
+        if let Ok(ready) = self.0.ready(Interest::PRIORITY).await
+            && !ready.is_read_closed()
+        {
+            std::future::pending().await
+        }
+    }
 }
 
 /// Limits the time for a head, and the first also for the silence before it.
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -7,6 +7,7 @@
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::handle::{Answer, Handle, Inbound};
+use crate::leaving::{End, RequestEnd};
 use crate::life::{Life, Stage};
 use crate::metrics::{Ending, Metrics, Ticket};
 use crate::peer::{Heads, Peer, Socket};
@@ -111,6 +112,17 @@
 struct Connection {
     heads: Heads,
     socket: Socket,
+    end: End,
+}
+
+impl Connection {
+    /// Whether the client is there, for a request whose last byte has just been read.
+    fn end_of_request(&self) -> RequestEnd {
+        if self.socket.has_ended() {
+            self.end.note();
+        }
+        self.end.of_request()
+    }
 }
 
 impl Server {
@@ -216,7 +228,7 @@
         drop(stream.set_nodelay(true));
         let (used, begun, since) = (AtomicBool::new(false), Notify::new(), Instant::now());
         let (peer, heads, socket) = Peer::client(stream);
-        let open = Arc::new(Connection { heads, socket });
+        let open = Arc::new(Connection { heads, socket, end: End::default() });
         let service = service_fn(|request| {
             let newcomer = (!used.swap(true, Ordering::Relaxed)).then_some(since);
             if newcomer.is_some() {
@@ -227,8 +239,10 @@
             async move { Ok::<_, Infallible>(server.answer(request, &open, twofold, newcomer).await) }
         });
         let (mut life, mut closed, mut gives_way) = (self.life.watch(), None, false);
+        let mut ended = false;
         let mut http = http1::Builder::new();
-        http.max_buf_size(BUFFER).header_read_timeout(None);
+        // Who ends its sending may wait for its answer: what that means is judged here.
+        http.max_buf_size(BUFFER).header_read_timeout(None).half_close(true);
         let connection = http.serve_connection(TokioIo::new(peer), service);
         tokio::pin!(connection);
         loop {
@@ -238,6 +252,11 @@
                 biased;
                 // Whatever ends it, whoever waited on it has left.
                 _ = connection.as_mut() => break,
+                () = open.socket.ended(), if !ended => {
+                    ended = true;
+                    open.end.note();
+                    continue;
+                }
                 Ok(()) = life.changed() => if !life.borrow().close_all { continue },
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => closed = due,
                 // A newcomer whose first request is on its way is not asked.
@@ -267,8 +286,8 @@
                 let ready = self.driver.is_ready() && self.life.stage() == Stage::Serving;
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
-            _ => match self.read(request, twofold, newcomer).await {
-                Ok(inbound) => self.ask(inbound).await,
+            _ => match self.read(request, on, twofold, newcomer).await {
+                Ok(inbound) => self.ask(inbound, on).await,
                 Err((status, why)) => plain(status, why),
             },
         };
@@ -283,13 +302,28 @@
     }
 
     /// A request that has been taken: it is in flight until its answer has ended.
-    async fn ask(&self, inbound: Inbound) -> Response<Reply> {
+    async fn ask(&self, inbound: Inbound, on: &Connection) -> Response<Reply> {
         let ticket = self.metrics.take(inbound.class);
         let upload = match &inbound.outbound.body {
             RequestBody::Held(_) => None,
             RequestBody::Open(upload) => Some(upload.clone()),
         };
-        let answer = self.driver.ask(inbound).await;
+        let end = inbound.outbound.end.clone();
+        let left = async {
+            let Some(upload) = &upload else { return end.left().await };
+            // Until then the end may lie behind the request's last byte.
+            upload.read_whole().await;
+            on.end_of_request().left().await;
+        };
+        let answer = tokio::select! {
+            biased;
+            answer = self.driver.ask(inbound) => answer,
+            // It has gone. If it waits after all, for one that came late to end its sending, this is its answer.
+            () = left => {
+                tracing::debug!("a client has left");
+                Answer::Failed
+            }
+        };
         let Some(upload) = upload else { return worded(answer, ticket) };
         match upload.fault() {
             Some(error) => {
@@ -305,7 +339,7 @@
 
     /// Guards against requests that can't be read: they are answered as failed, and go nowhere.
     async fn read(
-        &self, request: Request<Incoming>, twofold: bool, newcomer: Option<Instant>,
+        &self, request: Request<Incoming>, on: &Connection, twofold: bool, newcomer: Option<Instant>,
     ) -> Result<Inbound, Improper> {
         let (head, body) = request.into_parts();
         let bad = |why| (StatusCode::BAD_REQUEST, why);
@@ -333,6 +367,7 @@
             Intake::new(body, patience).read(|bytes| self.budget.take(bytes)).await.map_err(improper)?;
         // A client's time runs from its last byte.
         let since = Instant::now();
+        let end = on.end_of_request();
         let answer_by = self.life.now().answer_by;
         let budget = answer_by.map_or(budget, |by| budget.min(by.saturating_duration_since(since)));
         if idempotency == Idempotency::Idempotent
@@ -347,7 +382,7 @@
         let mut headers = head.headers;
         KEPT_BACK.iter().for_each(|name| drop(headers.remove(*name)));
         headers.entry(HOST).or_insert(HeaderValue::from_static("origin.svc"));
-        let outbound = Outbound { method: head.method, uri: head.uri, headers, body };
+        let outbound = Outbound { method: head.method, uri: head.uri, headers, body, end };
         Ok(Inbound { outbound, class, tenant, cost, origin, budget, since, answer_by })
     }
 }
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -6,6 +6,7 @@
 use crate::bodies::{HELD, Had, Outgoing, Passing, RequestBody, Sent, read_answer};
 use crate::budget::Budget;
 use crate::idle::IdleLimit;
+use crate::leaving::RequestEnd;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
 use bytes::Bytes;
@@ -78,6 +79,8 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: RequestBody,
+    /// Whether its client has gone, or has its answer.
+    pub end: RequestEnd,
 }
 
 /// A whole answer: the body of an upstream's 200, and what it says of its type.
@@ -230,10 +233,10 @@
             RequestBody::Held(_) => None,
             RequestBody::Open(upload) => Some(upload.sent()),
         };
-        // Guards against sending to an upstream that has begun to drain while the connection came up, and what
-        // is left of a body for all of it.
+        // Guards against sending to an upstream that has begun to drain, or for a client that has left, while the
+        // connection came up, and what is left of a body for all of it.
         let spent = news.as_ref().is_some_and(|news| *news.borrow() != Sent::Nothing);
-        if spent || !target.open.load(Ordering::Relaxed) {
+        if spent || !target.open.load(Ordering::Relaxed) || !outbound.end.lets_begin() {
             return ended(Outcome::Moot);
         }
         let left = by.saturating_duration_since(Instant::now());
@@ -386,6 +389,7 @@
             uri: Uri::from_static("/api"),
             headers: HeaderMap::new(),
             body: RequestBody::Held(Bytes::new()),
+            end: RequestEnd::never(),
         };
         let target = Arc::new(Target { addr, open: AtomicBool::new(open) });
         let (told, mut steps) = mpsc::unbounded_channel();
