--- a/src/balance.rs
+++ b/src/balance.rs
@@ -450,6 +450,21 @@
         }
     }
 
+    /// Until when the latest attempt of this request may begin to be written, by the caller's clock; `None`
+    /// where that is left open. Guards against a repeat that waits for its connection until those that drop
+    /// repeats have forgotten the first. That was written after it was decided on, so its own wait is on the
+    /// safe side.
+    pub fn begins_by(&self, id: RequestId) -> Option<Duration> {
+        let request = self.requests.get(&id)?;
+        let first = request.attempts.split_last()?.1.iter().find(|a| a.fate != Fate::NeverRan)?;
+        match self.settings.classes[request.job.class].idempotency {
+            Idempotency::Keyed { window, .. } => {
+                Some(duration(first.sent + ms(window) - ms(self.settings.tick)))
+            }
+            Idempotency::Idempotent | Idempotency::NonIdempotent => None,
+        }
+    }
+
     /// Draws two distinct random ready servers.
     fn draw(&mut self, id: RequestId) -> Vec<ServerId> {
         let draws = std::array::from_fn(|_| self.rng.u32(..) as usize);
--- a/src/bin/juniperspoke/bodies.rs
+++ b/src/bin/juniperspoke/bodies.rs
@@ -2,7 +2,7 @@
 
 use crate::budget::Share;
 use crate::metrics::{Ending, Ticket};
-use crate::peer::{Limit, STALL};
+use crate::peer::{Heads, Limit, STALL};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::HeaderValue;
@@ -22,6 +22,11 @@
 pub const LONGEST: u64 = 32 * 1024 * 1024;
 /// Bytes a second that a client's body has to come at: half of what the slowest legal client sends.
 const RATE: f64 = 32_000.0;
+/// The most of a body that a client may have written before it is read here: as much as the system lets a send
+/// buffer grow to, if nobody has told it otherwise.
+const AHEAD: u64 = 4 * 1024 * 1024;
+/// How much of a body of unknown length is read between two marks of the time.
+const STEP: u64 = AHEAD / 16;
 /// What has come fast pays for a pause of this length at most.
 const PAUSE: Duration = Duration::from_secs(2);
 /// An answer of unknown length is held for so long at most: one over [`HELD`] is timed by its first bytes, and
@@ -48,12 +53,61 @@
     patience: Duration,
     waits_since: Option<Instant>,
     limit: Limit,
+    /// The connection that it comes on.
+    on: Heads,
+    /// When the client was last known to have some of it still to write.
+    writing_at: Instant,
+    steps: Steps,
+    ended: bool,
+}
+
+/// When each of the last steps of a body of unknown length had been read, and how many there were in all.
+#[derive(Default)]
+struct Steps(VecDeque<Instant>, u64);
+
+impl Steps {
+    /// With so much read by now: when the client was last sure to have some of that to write, since more than the
+    /// system holds was still to be read then.
+    fn read(&mut self, read: u64, now: Instant) -> Option<Instant> {
+        let mut writing_at = None;
+        while read / STEP > self.1 {
+            self.1 += 1;
+            self.0.push_back(now);
+            if self.0.len() as u64 > AHEAD / STEP + 1 {
+                writing_at = self.0.pop_front();
+            }
+        }
+        writing_at
+    }
 }
 
 impl Intake {
     /// The first byte has to come within this time.
-    pub fn new(body: Incoming, patience: Duration) -> Intake {
-        Intake { body, room: LONGEST, patience, waits_since: None, limit: Limit::default() }
+    pub fn new(body: Incoming, patience: Duration, on: Heads) -> Intake {
+        let (limit, writing_at, steps) = (Limit::default(), Instant::now(), Steps::default());
+        Intake {
+            body,
+            room: LONGEST,
+            patience,
+            waits_since: None,
+            limit,
+            on,
+            writing_at,
+            steps,
+            ended: false,
+        }
+    }
+
+    /// When the client was last known to have some of it still to write: now, if we wait for it or much is left.
+    /// Guards against taking for the client's what is only to be read yet: its time would never end, as long as an
+    /// upstream takes the body piece by piece.
+    fn writing_at(&self) -> Instant {
+        match self.left() {
+            Some(left) if left > AHEAD => Instant::now(),
+            Some(0) => self.writing_at,
+            _ if self.ended => self.writing_at,
+            _ => self.writing_at.max(self.on.waited_at()),
+        }
     }
 
     /// What is left, if the client has said.
@@ -64,9 +118,7 @@
     fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         loop {
             let frame = match Pin::new(&mut self.body).poll_frame(context) {
-                Poll::Ready(Some(Ok(frame))) => frame,
-                Poll::Ready(Some(Err(_))) => return Poll::Ready(Some(Err(BodyError::Broken))),
-                Poll::Ready(None) => return Poll::Ready(None),
+                Poll::Ready(frame) => frame,
                 Poll::Pending => {
                     let (patience, now) = (self.patience, Instant::now());
                     self.waits_since.get_or_insert(now);
@@ -75,14 +127,22 @@
                 }
             };
             // Only the time that we wait for the client is the client's.
+            self.writing_at = self.writing_at().max(self.on.waited_at());
+            self.ended = frame.is_none();
             let waited = self.waits_since.take().map_or(Duration::ZERO, |since| since.elapsed());
             self.limit.over();
+            let Some(frame) = frame else { return Poll::Ready(None) };
+            let Ok(frame) = frame else { return Poll::Ready(Some(Err(BodyError::Broken))) };
             // Trailers say nothing that goes on to an upstream.
             let Ok(data) = frame.into_data() else { continue };
             let Some(room) = self.room.checked_sub(data.len() as u64) else {
                 return Poll::Ready(Some(Err(BodyError::TooLong)));
             };
             self.room = room;
+            if self.left().is_none() {
+                let writing_at = self.steps.read(LONGEST - room, Instant::now());
+                self.writing_at = self.writing_at.max(writing_at.unwrap_or(self.writing_at));
+            }
             let earned = Duration::from_secs_f64(data.len() as f64 / RATE);
             self.patience = (self.patience.saturating_sub(waited) + earned).min(PAUSE.max(self.patience));
             return Poll::Ready(Some(Ok(data)));
@@ -111,10 +171,16 @@
                 held += chunk.len();
                 first.push_back(chunk);
             }
-            let flow = Flow { first, intake: self, ended: false, _share: Some(share) };
+            let flow = Flow { first, intake: self, ended: false, dropped: false, _share: Some(share) };
             return Ok(RequestBody::Open(Upload::new(flow)));
         }
-        Ok(RequestBody::Open(Upload::new(Flow { first, intake: self, ended: false, _share: None })))
+        Ok(RequestBody::Open(Upload::new(Flow {
+            first,
+            intake: self,
+            ended: false,
+            dropped: false,
+            _share: None,
+        })))
     }
 }
 
@@ -147,6 +213,8 @@
     first: VecDeque<Bytes>,
     intake: Intake,
     ended: bool,
+    /// What is left goes nowhere.
+    dropped: bool,
     _share: Option<Share>,
 }
 
@@ -156,6 +224,10 @@
         self.intake.left().map(|left| left + first as u64)
     }
 
+    fn is_over(&self) -> bool {
+        self.ended || self.left() == Some(0)
+    }
+
     fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         match self.first.pop_front() {
             Some(chunk) => Poll::Ready(Some(Ok(chunk))),
@@ -183,6 +255,11 @@
         self.sent.subscribe()
     }
 
+    /// The client's time runs from its last byte, and so from then on at the earliest.
+    pub fn writing_at(&self) -> Instant {
+        self.flow().intake.writing_at()
+    }
+
     /// Waits until its last byte has been read.
     pub async fn read_whole(&self) {
         // Without an end only if this goes.
@@ -198,18 +275,24 @@
     }
 
     /// Reads and drops what is left, as long as it comes: an answer that is written while a client still sends
-    /// would be lost with the connection.
+    /// would be lost with the connection. Whoever has answered before that gets no more of it: two readers would
+    /// share it, and what one of them sees of it is no body that a client sent.
     pub async fn drain(self: Arc<Self>) {
+        let over = self.is_over();
+        self.flow().dropped = !over;
         while let Some(Ok(_)) = poll_fn(|context| self.flow().poll_chunk(context)).await {}
     }
 
     fn is_over(&self) -> bool {
         let flow = self.flow();
-        flow.ended || flow.left() == Some(0)
+        flow.is_over() && !flow.dropped
     }
 
     fn poll_chunk(&self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         let mut flow = self.flow();
+        if flow.dropped {
+            return Poll::Pending;
+        }
         let chunk = ready!(flow.poll_chunk(context));
         flow.ended = chunk.is_none();
         let sent = match &chunk {
@@ -319,7 +402,7 @@
     Some(Had::More(first, body, Some(share)))
 }
 
-/// An answer that was cut, by its upstream or for its silence.
+/// An answer that was cut, by its upstream or for its silence or length.
 #[derive(Debug, thiserror::Error)]
 #[error("the answer ended before its end")]
 pub struct Cut;
@@ -330,6 +413,11 @@
     body: Incoming,
     _share: Option<Share>,
     silence: Limit,
+    /// Bytes passed on.
+    passed: u64,
+    /// When its client's time ends, and when the longest has to be over.
+    by: Instant,
+    over: Instant,
     pub content_type: Option<HeaderValue>,
     /// Told once how it ended.
     ended: Option<Box<dyn FnOnce(Outcome) + Send>>,
@@ -340,10 +428,29 @@
 impl Passing {
     pub fn new(
         first: VecDeque<Bytes>, body: Incoming, share: Option<Share>, content_type: Option<HeaderValue>,
-        ended: impl FnOnce(Outcome) + Send + 'static,
+        by: Instant, ended: impl FnOnce(Outcome) + Send + 'static,
     ) -> Passing {
         let (silence, ended) = (Limit::default(), Some(Box::new(ended) as Box<_>));
-        Passing { first, body, _share: share, silence, content_type, ended, ticket: None }
+        let over = Instant::now() + Duration::from_secs_f64(LONGEST as f64 / RATE);
+        Passing {
+            first,
+            body,
+            _share: share,
+            silence,
+            passed: 0,
+            by,
+            over,
+            content_type,
+            ended,
+            ticket: None,
+        }
+    }
+
+    /// Until when its upstream may let us wait. What is no longer than [`HELD`] is timed by its last byte, so a client
+    /// has to be able to tell by the end of its time that this does not come. What is longer is timed by its first.
+    fn until(&self) -> Instant {
+        let short = self.passed + self.size_hint().exact().unwrap_or(0) <= HELD as u64;
+        (Instant::now() + STALL).min(if short { self.by } else { self.over })
     }
 
     fn end(&mut self, outcome: Outcome) {
@@ -367,7 +474,8 @@
                 None => match Pin::new(&mut this.body).poll_frame(context) {
                     Poll::Ready(frame) => frame,
                     Poll::Pending => {
-                        ready!(this.silence.poll(|| Instant::now() + STALL, context));
+                        let until = this.until();
+                        ready!(this.silence.poll(|| until, context));
                         this.end(Outcome::Reset);
                         return Poll::Ready(Some(Err(Cut)));
                     }
@@ -376,6 +484,11 @@
             this.silence.over();
             match frame {
                 Some(Ok(frame)) if frame.is_data() => {
+                    this.passed += frame.data_ref().map_or(0, |data| data.len() as u64);
+                    if this.passed > LONGEST {
+                        this.end(Outcome::Reset);
+                        return Poll::Ready(Some(Err(Cut)));
+                    }
                     // With its length known, nobody asks for what comes after the last byte.
                     if this.is_end_stream() {
                         this.end(Outcome::Ok);
@@ -412,3 +525,78 @@
         self.end(Outcome::Cancelled);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::peer::Peer;
+    use crate::upstream::BUFFER;
+    use hyper::service::service_fn;
+    use hyper::{Request, Response, server::conn::http1};
+    use hyper_util::rt::TokioIo;
+    use std::io::Write;
+    use tokio::net::TcpListener;
+    use tokio::sync::mpsc::unbounded_channel;
+    use tokio::time::sleep;
+
+    /// Reads two pieces a second of a body that begins so, and goes on after 10 s: how many there were, and when, in
+    /// seconds from the start, its client was last known to write.
+    async fn read_slowly(begins: String, goes_on: &str) -> (usize, u64) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let mut client = std::net::TcpStream::connect(addr).expect("a connection");
+        client.write_all(format!("POST / HTTP/1.1\r\n{begins}").as_bytes()).expect("written");
+        let (peer, heads, _socket) = Peer::client(listener.accept().await.expect("a connection").0);
+        let (start, (told, mut heard)) = (Instant::now(), unbounded_channel());
+        let service = service_fn(|request: Request<Incoming>| {
+            let mut intake = Intake::new(request.into_body(), Duration::from_secs(60), heads.clone());
+            let told = told.clone();
+            async move {
+                let mut pieces = 0;
+                while intake.next().await.transpose()?.is_some() {
+                    pieces += 1;
+                    if pieces % 2 == 0 {
+                        sleep(Duration::from_secs(1)).await;
+                    }
+                }
+                told.send((pieces, (intake.writing_at() - start).as_secs())).expect("heard");
+                Ok::<_, BodyError>(Response::new(String::new()))
+            }
+        });
+        let http = http1::Builder::new().half_close(true).max_buf_size(BUFFER).clone();
+        let goes_on = async {
+            sleep(Duration::from_secs(10)).await;
+            client.write_all(goes_on.as_bytes()).expect("written");
+            heard.recv().await.expect("its end")
+        };
+        tokio::select! {
+            _ = http.serve_connection(TokioIo::new(peer), service) => panic!("a body without an end"),
+            read = goes_on => read,
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn only_what_a_client_cannot_have_written_before_renews_its_time() {
+        let body = "x".repeat(40_000);
+        let chunks = format!("2710\r\n{}\r\n", &body[..10_000]).repeat(4);
+        let chunked = format!("Transfer-Encoding: chunked\r\n\r\n{chunks}");
+        for (what, begins, goes_on, writing) in [
+            ("chunked", format!("{chunked}0\r\n\r\n"), "", 0),
+            ("of known length", format!("Content-Length: 40000\r\n\r\n{body}"), "", 0),
+            ("chunked, and its end later", chunked, "0\r\n\r\n", 10),
+            ("of known length, and its end later", format!("Content-Length: 40001\r\n\r\n{body}"), "x", 10),
+        ] {
+            let (pieces, last) = read_slowly(begins, goes_on).await;
+            assert!(pieces > 2 && last == writing, "{what}: {pieces} pieces, {last}");
+        }
+    }
+
+    #[test]
+    fn much_that_comes_later_was_not_written_before_the_system_had_room_for_it() {
+        let (start, mut steps) = (Instant::now(), Steps::default());
+        let mut sure = |read| steps.read(read, start + Duration::from_secs(read / STEP));
+        let found: Vec<_> = (0..40).map(|step| sure(step * STEP).map(|at| (at - start).as_secs())).collect();
+        let expected = (0..40_u64).map(|step| (step > 17).then(|| step - 17));
+        assert_eq!(found, expected.collect::<Vec<_>>());
+    }
+}
--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -4,7 +4,7 @@
 use crate::handle::{Handle, Happening};
 use crate::instances::Instances;
 use crate::list::{self, ListError, News};
-use crate::upstream::TcpConnection;
+use crate::upstream::{OpenError, TcpConnection};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
@@ -38,7 +38,7 @@
     #[error("no answer in time")]
     Silent,
     #[error("no connection: {0}")]
-    Connect(std::io::Error),
+    Connect(OpenError),
     #[error("the call broke: {0}")]
     Http(#[from] hyper::Error),
     #[error("the answer broke or is too long: {0}")]
@@ -192,7 +192,7 @@
 ) -> Result<News, DiscoveryError> {
     let mut connection = match kept.take() {
         Some(kept) if !kept.sender.is_closed() => kept,
-        _ => TcpConnection::open(addr).await.map_err(DiscoveryError::Connect)?,
+        _ => TcpConnection::open(addr, ()).await.map_err(DiscoveryError::Connect)?,
     };
     let uri = match held {
         Some(revision) => format!("/registry/instances?index={revision}&wait={}", wait.as_millis()),
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -1,15 +1,17 @@
 //! Owns the decisions: turns what happens into the module's events, carries its actions out in order, and is
 //! the one place that knows who is still owed an answer.
 
+use crate::bodies::RequestBody;
 use crate::config::Config;
 use crate::handle::{Answer, Handle, Happening, Inbound};
 use crate::list::News;
-use crate::upstream::{Outbound, Served, Step, Target, Upstreams};
+use crate::upstream::{Outbound, Served, Step, Target, Terms, Upstreams};
 use micapier::Balancer;
 use micapier::api::*;
 use micapier::fleet::tally::Tally;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -156,8 +158,16 @@
         }
     }
 
+    /// Guards against holding to be late, or hung, what has been told of and only not heard yet.
     fn fire(&mut self) {
         let now = Instant::now();
+        let is_due = self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now);
+        let told = if is_due { self.from.len() } else { 0 };
+        for _ in 0..told {
+            if let Ok(happening) = self.from.try_recv() {
+                self.happen(happening);
+            }
+        }
         while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
             match self.timers.pop() {
                 Some(Reverse((_, Due::Module(timer)))) => self.handle_event(Event::Timer(timer)),
@@ -170,6 +180,16 @@
 
     /// Guards against a request that the module has lost sight of: its client is told that it failed.
     fn backstop(&mut self, id: RequestId) {
+        let Some(owed) = self.requests.get_mut(&id) else { return };
+        // A client's time runs from its last byte, also while nothing of its body has been read yet.
+        if let (RequestBody::Open(upload), Some(by)) = (&owed.outbound.body, &mut owed.answer_by) {
+            let runs_until = upload.writing_at() + owed.budget.saturating_sub(ANSWER_MARGIN);
+            let runs_until = owed.at_the_latest.map_or(runs_until, |latest| runs_until.min(latest));
+            if runs_until > *by {
+                *by = runs_until;
+                return self.timers.push(Reverse((runs_until, Due::Backstop(id))));
+            }
+        }
         let over =
             |owed: &Owed| owed.answer.is_some() && owed.answer_by.is_some_and(|by| by <= Instant::now());
         if self.requests.get(&id).is_some_and(over) {
@@ -384,7 +404,7 @@
                     // The module waits for it as long as it likes; this only ends what no one waits for.
                     let by = Instant::now() + config.surroundings.connect_timeout;
                     let name = config.surroundings.held_name.as_deref();
-                    let (outcome, held) = upstreams.probe(target.addr, by, name).await;
+                    let (outcome, held) = upstreams.probe(target, by, name).await;
                     handle.tell(Happening::Probed(server, outcome, held));
                 });
             }
@@ -420,7 +440,10 @@
         let handle = self.handle.clone();
         let report = Arc::new(move |step| handle.tell(Happening::Attempt(id, attempt, step)));
         let zone = self.part.as_ref().and_then(|part| part.zones.get(&server)).copied().unwrap_or(u16::MAX);
-        let task = self.upstreams.clone().attempt(target, owed.outbound.clone(), timeout, report);
+        let (start, origin) = self.started;
+        let begin_by = self.balancer.begins_by(id).map(|by| start + by.saturating_sub(origin));
+        let terms = Terms { since: now, timeout, begin_by };
+        let task = self.upstreams.clone().attempt(target, owed.outbound.clone(), terms, report);
         let out = Some(tokio::spawn(task).abort_handle());
         owed.attempts.push(Flight { sent: now, out, zone, counted: false });
         if let Some(part) = &mut self.part {
@@ -459,16 +482,22 @@
             let left: Vec<ServerId> = self.servers.keys().filter(|id| !named.contains(id)).copied().collect();
             left.into_iter().for_each(|id| self.close(id));
         }
-        self.close_unused();
+        // Guards against a connection to the process before a restart. It may have left without a word, and what is
+        // written there would end as a reset, and might have run.
+        let (start, origin) = self.started;
+        let since = |line: &Listed| start.checked_add(line.started?.saturating_sub(origin));
+        let starts = news.members.iter().filter_map(|(line, addr)| Some((*addr, since(line)?)));
+        self.close_unused(&starts.collect());
         self.handle.set_ready(!self.servers.is_empty());
         (news.complete, news.members.into_iter().map(|(line, _)| line).collect())
     }
 
-    /// Closes what is kept to upstreams that nothing new goes to.
-    fn close_unused(&self) {
+    /// Closes what is kept to upstreams that nothing new goes to, or that have started since it was opened.
+    fn close_unused(&self, starts: &HashMap<SocketAddr, Instant>) {
         let open = self.servers.values().filter(|target| target.open.load(Ordering::Relaxed));
         let used: HashSet<_> = open.map(|target| target.addr).collect();
-        self.upstreams.retain(|addr| used.contains(addr));
+        let serves = |addr: &SocketAddr, opened| starts.get(addr).is_none_or(|start| *start <= opened);
+        self.upstreams.retain(|addr, opened| used.contains(addr) && serves(addr, opened));
     }
 
     /// Nothing new goes to these, also of what waits for a connection; others are open again.
@@ -482,7 +511,7 @@
                 *target = Arc::new(Target { addr: target.addr, open: AtomicBool::new(true) });
             }
         }
-        self.close_unused();
+        self.close_unused(&HashMap::new());
         self.handle_event(Event::Banned(servers));
     }
 
@@ -497,11 +526,132 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::bodies::RequestBody;
     use crate::budget::Budget;
     use crate::metrics::Metrics;
+    use crate::upstream::tests::read;
     use bytes::Bytes;
     use hyper::{HeaderMap, Method, Uri};
+    use std::future::poll_fn;
+    use std::pin::Pin;
+    use std::task::Poll;
+    use tokio::net::TcpListener;
+
+    fn inbound(uri: &'static str, budget: Duration) -> Inbound {
+        let outbound = Outbound {
+            method: Method::POST,
+            uri: Uri::from_static(uri),
+            headers: HeaderMap::new(),
+            body: RequestBody::Held(Bytes::new()),
+            end: crate::leaving::RequestEnd::never(),
+        };
+        let (cost, tenant, origin, since) = (None, None, Origin::Fresh, Instant::now());
+        Inbound { outbound, class: 0, tenant, cost, origin, budget, since, answer_by: None }
+    }
+
+    async fn once(future: &mut Pin<Box<impl Future>>) {
+        poll_fn(|context| Poll::Ready(future.as_mut().poll(context).is_ready())).await;
+    }
+
+    /// A whole list of one upstream, up since then.
+    fn listed(config: &Config, addr: SocketAddr, since: Duration) -> Option<News> {
+        let member = serde_json::json!({"id": "s", "host_port": addr.to_string(), "phase": "Ready", "cell": 0,
+            "up_since_ms": since.as_secs_f64() * 1e3});
+        let list = serde_json::json!({"revision": 1, "complete": true, "members": [member]});
+        crate::list::read(&list, &config.surroundings).ok()
+    }
+
+    #[tokio::test]
+    async fn what_is_kept_to_a_process_before_its_restart_is_not_used_again() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
+        let long = Duration::from_secs(30);
+        let upstreams = Upstreams::new(4, long, long, Metrics::new(&[]), Budget::new(0));
+        let (mut driver, _handle) =
+            Driver::new(config.clone(), upstreams.clone(), Arc::new(Notify::new()), None);
+        let (told, mut heard) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            for number in 0.. {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                let told = told.clone();
+                tokio::spawn(async move {
+                    while !read(&stream).await.is_empty() {
+                        told.send(number).expect("heard");
+                        stream.try_write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("written");
+                    }
+                });
+            }
+        });
+        let (from, origin) = driver.started;
+        for (restarted, connection) in [(false, 0), (false, 0), (true, 1)] {
+            let since = if restarted { origin + from.elapsed() } else { origin - long };
+            driver.take_over(listed(&config, addr, since).expect("a list"));
+            let target = driver.servers[&crate::list::server_id("s")].clone();
+            let (outcome, _) = upstreams.clone().probe(target, Instant::now() + long, None).await;
+            assert_eq!((outcome, heard.recv().await), (Outcome::Ok, Some(connection)));
+        }
+    }
+
+    #[tokio::test]
+    async fn nothing_begins_for_a_client_that_left_while_its_attempt_waited_for_a_connection() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let text = crate::config::tests::JSON.replace("\"cancel\":true", "\"cancel\":false");
+        let config = Arc::new(Config::read(&text, |_| None).expect("readable"));
+        let long = Duration::from_secs(30);
+        let upstreams = Upstreams::new(4, long, long, Metrics::new(&[]), Budget::new(0));
+        let (driver, handle) = Driver::new(config.clone(), upstreams, Arc::new(Notify::new()), None);
+        let known = listed(&config, addr, Duration::ZERO);
+        let mut driver = Box::pin(driver.run(known, false));
+        // The driver hears of both in one go, or of the first alone; the attempt runs after both.
+        for at_once in [true, false] {
+            let mut left = Box::pin(handle.ask(inbound("/left", long)));
+            once(&mut left).await;
+            if !at_once {
+                once(&mut driver).await;
+            }
+            drop(left);
+            once(&mut driver).await;
+        }
+        tokio::spawn(driver);
+        let (told, mut heard) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let told = told.clone();
+                tokio::spawn(async move { told.send(read(&stream).await) });
+            }
+        });
+        tokio::select! {
+            _ = handle.ask(inbound("/stays", long)) => panic!("unanswered"),
+            heard = heard.recv() => assert!(heard.expect("a request").starts_with("POST /stays")),
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_answer_that_has_been_told_comes_before_what_falls_due_until_it_is_heard() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
+        let (budget, long) = (Duration::from_secs(1), Duration::from_secs(30));
+        let upstreams = Upstreams::new(4, long, long, Metrics::new(&[]), Budget::new(1_024));
+        let (driver, handle) = Driver::new(config.clone(), upstreams, Arc::new(Notify::new()), None);
+        let mut driver = Box::pin(driver.run(listed(&config, addr, Duration::ZERO), false));
+        let mut asked = Box::pin(handle.ask(inbound("/api", budget)));
+        once(&mut asked).await;
+        once(&mut driver).await;
+        let (stream, _) = listener.accept().await.expect("a connection");
+        assert!(read(&stream).await.starts_with("POST /api"));
+        stream.try_write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("written");
+        // The answer is read and told behind something else, while the driver has no turn.
+        handle.tell(Happening::ListFailed);
+        tokio::time::sleep(budget / 2).await;
+        tokio::time::advance(budget).await;
+        let answer = tokio::select! {
+            answer = asked => answer,
+            () = driver => panic!("it has ended"),
+        };
+        assert!(matches!(answer, Answer::Served(_)));
+    }
 
     #[tokio::test]
     async fn a_request_that_the_module_is_silent_about_is_answered_in_time() {
@@ -513,17 +663,8 @@
         let arrival = Arrival { id, class: 0, cost: None, patience, origin: Origin::Fresh, tenant: None };
         driver.balancer.handle(driver.started.1, Event::Request(arrival), &mut Vec::new());
         tokio::spawn(driver.run(None, false));
-        let outbound = Outbound {
-            method: Method::POST,
-            uri: Uri::from_static("/api"),
-            headers: HeaderMap::new(),
-            body: RequestBody::Held(Bytes::new()),
-            end: crate::leaving::RequestEnd::never(),
-        };
         let (since, budget) = (Instant::now(), Duration::from_millis(200));
-        let (cost, tenant, origin) = (None, None, Origin::Fresh);
-        let inbound = Inbound { outbound, class: 0, tenant, cost, origin, budget, since, answer_by: None };
-        let answer = tokio::time::timeout(Duration::from_secs(30), handle.ask(inbound)).await;
+        let answer = tokio::time::timeout(Duration::from_secs(30), handle.ask(inbound("/api", budget))).await;
         assert!(matches!(answer.expect("an answer"), Answer::Failed));
         assert!(since.elapsed() >= budget - ANSWER_MARGIN, "the module had its time");
     }
--- a/src/bin/juniperspoke/fleet.rs
+++ b/src/bin/juniperspoke/fleet.rs
@@ -4,7 +4,7 @@
 use crate::config::{Config, FleetCalls};
 use crate::handle::{Handle, Happening};
 use crate::instances::Instances;
-use crate::upstream::TcpConnection;
+use crate::upstream::{OpenError, TcpConnection};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
@@ -40,7 +40,7 @@
     #[error("no answer in time")]
     Silent,
     #[error("no connection: {0}")]
-    Connect(io::Error),
+    Connect(OpenError),
     #[error("the call broke: {0}")]
     Http(#[from] hyper::Error),
     #[error("the request can't be written: {0}")]
@@ -65,7 +65,7 @@
     ) -> Result<(StatusCode, Bytes), CallError> {
         let mut connection = match self.0.take() {
             Some((addr, kept)) if addr == to && !kept.sender.is_closed() => kept,
-            _ => TcpConnection::open(to).await.map_err(CallError::Connect)?,
+            _ => TcpConnection::open(to, ()).await.map_err(CallError::Connect)?,
         };
         let request = request.header("Host", to.to_string()).body(Full::new(Bytes::from(body)))?;
         connection.sender.ready().await?;
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -46,15 +46,17 @@
 /// What has been read on a client's connection.
 struct Known {
     framing: Framing,
+    /// When its socket was last seen to be empty, and whether it still is.
+    empty: (Instant, bool),
 }
 
-/// What is known of the heads on a client's connection.
+/// What is known of the heads on a client's connection, and of when it has let us wait.
 #[derive(Clone)]
 pub struct Heads(Arc<Mutex<Known>>);
 
 impl Heads {
-    fn new() -> Heads {
-        Heads(Arc::new(Mutex::new(Known { framing: Framing::new() })))
+    fn new(now: Instant) -> Heads {
+        Heads(Arc::new(Mutex::new(Known { framing: Framing::new(), empty: (now, true) })))
     }
 
     fn known(&self) -> MutexGuard<'_, Known> {
@@ -71,6 +73,12 @@
         self.known().framing.has_next()
     }
 
+    /// When we last had to wait for its client: what has been read since was not there then.
+    pub fn waited_at(&self) -> Instant {
+        let (at, still) = self.known().empty;
+        if still { Instant::now() } else { at }
+    }
+
     /// The connection closes with the last answer to what has been read; nothing is read beyond that.
     pub fn close(&self) {
         self.known().framing.close();
@@ -134,7 +142,7 @@
     }
 
     pub fn client(stream: TcpStream) -> (Peer, Heads, Socket) {
-        let (stream, heads) = (Arc::new(stream), Heads::new());
+        let (stream, heads) = (Arc::new(stream), Heads::new(Instant::now()));
         let first_by = Some(Instant::now() + HEAD_PATIENCE);
         let reading = Patience { heads: heads.clone(), limit: Limit::default(), first_by };
         (Peer::new(stream.clone(), Some(reading)), heads, Socket(stream))
@@ -211,8 +219,11 @@
         let Some(Patience { heads, limit, first_by }) = &mut peer.reading else {
             return Peer::poll_bytes(&peer.stream, context, buffer, usize::MAX);
         };
-        let Known { framing } = &mut *heads.known();
+        let Known { framing, empty } = &mut *heads.known();
         let done = Peer::poll_bytes(&peer.stream, context, buffer, framing.room());
+        if done.is_pending() || empty.1 {
+            *empty = (Instant::now(), done.is_pending());
+        }
         if done.is_ready() {
             let heads = framing.heads();
             framing.read(&buffer.filled()[before..]);
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -363,8 +363,10 @@
         let tenant = caller.and_then(|caller| tenants.iter().position(|name| *name == caller));
         let tenant = tenant.and_then(|at| u16::try_from(at).ok());
         let patience = newcomer.map_or(BODY_PATIENCE, |since| NEWCOMER.saturating_sub(since.elapsed()));
-        let body =
-            Intake::new(body, patience).read(|bytes| self.budget.take(bytes)).await.map_err(improper)?;
+        let body = Intake::new(body, patience, on.heads.clone())
+            .read(|bytes| self.budget.take(bytes))
+            .await
+            .map_err(improper)?;
         // A client's time runs from its last byte.
         let since = Instant::now();
         let end = on.end_of_request();
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use micapier::api::Outcome;
@@ -24,9 +24,9 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, yield_now};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// The most that is read ahead on a connection, and so the longest head of an answer, and the most that waits to
@@ -34,12 +34,26 @@
 pub const BUFFER: usize = 16 * 1024;
 /// A kept connection is not used in this last part of the time after which the upstream closes it.
 const IDLE_MARGIN: u32 = 10;
+/// A connection rests for so long after an answer: one that should not be there may come some milliseconds later,
+/// and on a connection in use it would be taken for the answer to the next request.
+const REST: Duration = Duration::from_millis(10);
 /// Idle connections kept to one upstream.
 const IDLE_EACH: usize = 8;
 
-/// A connection whose socket closes with it.
+/// Why there is no connection.
+#[derive(Debug, thiserror::Error)]
+pub enum OpenError {
+    /// There was no socket to be had, which says nothing of the other side.
+    #[error("no socket: {0}")]
+    Ours(io::Error),
+    #[error(transparent)]
+    Theirs(io::Error),
+}
+
+/// A connection whose socket closes with it, in one of the next turns.
 pub struct TcpConnection<B> {
     pub sender: SendRequest<B>,
+    opened: Instant,
     task: AbortHandle,
 }
 
@@ -49,15 +63,30 @@
     B::Data: Send,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    pub async fn open(addr: SocketAddr) -> io::Result<Self> {
-        let stream = TcpStream::connect(addr).await?;
-        stream.set_nodelay(true)?;
+    /// `place` is kept until the socket has closed.
+    pub async fn open(addr: SocketAddr, place: impl Send + 'static) -> Result<Self, OpenError> {
+        let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
+        let stream = socket.map_err(OpenError::Ours)?.connect(addr).await.map_err(OpenError::Theirs)?;
+        stream.set_nodelay(true).map_err(OpenError::Theirs)?;
         let mut http = http1::Builder::new();
         let handshake = http.max_buf_size(BUFFER).handshake(TokioIo::new(Peer::upstream(stream)));
-        let (sender, connection) = handshake.await.map_err(io::Error::other)?;
-        // What breaks it is told to the request on it.
-        let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(TcpConnection { sender, task })
+        let (sender, connection) =
+            handshake.await.map_err(|error| OpenError::Theirs(io::Error::other(error)))?;
+        let task = tokio::spawn(async move {
+            // What breaks it is told to the request on it.
+            drop(connection.await);
+            drop(place);
+        });
+        let (opened, task) = (Instant::now(), task.abort_handle());
+        Ok(TcpConnection { sender, opened, task })
+    }
+
+    /// Back once its socket has closed.
+    async fn close(self) {
+        self.task.abort();
+        while !self.task.is_finished() {
+            yield_now().await;
+        }
     }
 }
 
@@ -73,6 +102,16 @@
     pub open: AtomicBool,
 }
 
+/// What binds an attempt.
+pub struct Terms {
+    /// When it was decided on, which may be long before it can begin.
+    pub since: Instant,
+    /// It is given up after this time, and may not begin any more then.
+    pub timeout: Duration,
+    /// From then on it may not begin.
+    pub begin_by: Option<Instant>,
+}
+
 /// What goes on to an upstream of a client's request.
 pub struct Outbound {
     pub method: Method,
@@ -104,6 +143,19 @@
 /// Told of each step.
 pub type Report = Arc<dyn Fn(Step) + Send + Sync>;
 
+/// Guards against an answer that another reader ends elsewhere, and against a coding taken for the body: the HTTP library
+/// drops a length beside a coding, and reads one that it doesn't know to the connection's end.
+fn is_framed_once(headers: &HeaderMap) -> bool {
+    let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+    match (codings.next(), codings.next()) {
+        (None, _) => true,
+        (Some(only), None) => {
+            only.as_bytes().eq_ignore_ascii_case(b"chunked") && !headers.contains_key(CONTENT_LENGTH)
+        }
+        _ => false,
+    }
+}
+
 /// Waits for news of how much has been sent; for ever where a body is held.
 async fn sent(of: &mut Option<watch::Receiver<Sent>>) -> Sent {
     if let Some(of) = of
@@ -114,7 +166,7 @@
     std::future::pending().await
 }
 
-/// Counts a connection, made or being made, against the limit.
+/// Counts a connection, made or being made, against the limit, until its socket has closed.
 struct Slot(Arc<AtomicUsize>);
 
 impl Drop for Slot {
@@ -123,12 +175,11 @@
     }
 }
 
-/// A connection and its place under the limit.
+/// A connection for one use after the other.
 struct Pooled {
     connection: TcpConnection<Outgoing>,
     /// How long it stood idle before this use.
     idle_for: Duration,
-    _slot: Slot,
 }
 
 struct Idle {
@@ -141,6 +192,9 @@
 pub struct Upstreams {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
     learned: Arc<Mutex<IdleLimit>>,
+    /// Waits for a connection that were cut short, by address since one last came up: how long they were in all, and
+    /// until when that has been counted.
+    vain: Arc<Mutex<HashMap<SocketAddr, (Duration, Instant)>>>,
     open: Arc<AtomicUsize>,
     most: usize,
     keep: Duration,
@@ -153,10 +207,10 @@
     pub fn new(
         most: usize, keep_alive: Duration, connect_timeout: Duration, metrics: Arc<Metrics>, budget: Budget,
     ) -> Self {
-        let (idle, open) = Default::default();
+        let (idle, vain, open) = Default::default();
         let learned = Arc::new(Mutex::new(IdleLimit::new(Instant::now())));
         let keep = keep_alive - keep_alive / IDLE_MARGIN;
-        Upstreams { idle, learned, open, most, keep, connect_timeout, metrics, budget }
+        Upstreams { idle, learned, vain, open, most, keep, connect_timeout, metrics, budget }
     }
 
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
@@ -167,112 +221,172 @@
         self.learned.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Closes what is kept to upstreams that have left.
-    pub fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
-        self.idle().retain(|addr, _| keep(addr));
+    fn vain(&self) -> MutexGuard<'_, HashMap<SocketAddr, (Duration, Instant)>> {
+        self.vain.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The connection used last that is still good. Guards against one that its upstream has closed, or is
-    /// about to, or that has broken unseen: a request on it would end as a reset, and might have run.
-    fn kept(&self, addr: SocketAddr) -> Option<Pooled> {
+    /// Closes what is kept to upstreams that have left, and what was opened at a time that is not kept; forgets the waits
+    /// for one that were over by then.
+    pub fn retain(&self, keep: impl Fn(&SocketAddr, Instant) -> bool) {
+        self.vain().retain(|addr, (_, until)| keep(addr, *until));
+        self.idle().retain(|addr, list| {
+            list.retain(|idle| keep(addr, idle.pooled.connection.opened));
+            !list.is_empty()
+        });
+    }
+
+    /// The connection used last that is still good and has rested, or the one that has it next. Guards against one
+    /// that its upstream has closed, or is about to, or that has broken unseen: a request on it would end as a
+    /// reset, and might have run.
+    fn kept(&self, addr: SocketAddr) -> Option<Idle> {
         let keep = self.learned().limit(Instant::now()).map_or(self.keep, |learned| learned.min(self.keep));
         let mut idle = self.idle();
         for list in idle.values_mut() {
             list.retain(|i| i.since.elapsed() < keep && i.pooled.connection.sender.is_ready());
         }
-        let Idle { pooled, since } = idle.get_mut(&addr)?.pop()?;
-        Some(Pooled { idle_for: since.elapsed(), ..pooled })
+        let list = idle.get_mut(&addr).filter(|list| !list.is_empty())?;
+        let rested = list.iter().rposition(|i| i.since.elapsed() >= REST);
+        Some(list.remove(rested.unwrap_or(0)))
     }
 
-    fn keep(&self, addr: SocketAddr, pooled: Pooled) {
+    /// Keeps what has not been used since then.
+    fn keep(&self, addr: SocketAddr, pooled: Pooled, since: Instant) {
         let mut idle = self.idle();
         let list = idle.entry(addr).or_default();
         if list.len() < IDLE_EACH {
-            list.push(Idle { pooled, since: Instant::now() });
+            list.insert(list.partition_point(|other| other.since <= since), Idle { pooled, since });
         }
     }
 
-    /// Room for one more connection; the one idle for longest gives way.
-    fn slot(&self) -> Option<Slot> {
-        if self.open.load(Ordering::Relaxed) >= self.most {
-            let mut idle = self.idle();
-            let oldest =
-                idle.values_mut().filter(|list| !list.is_empty()).min_by_key(|list| list[0].since)?;
-            oldest.remove(0);
+    /// Room for one more connection; the one idle for longest gives way, and has closed by then.
+    async fn slot(&self) -> Option<Slot> {
+        while self.open.load(Ordering::Relaxed) >= self.most {
+            self.idle_longest()?.pooled.connection.close().await;
         }
         self.open.fetch_add(1, Ordering::Relaxed);
         Some(Slot(self.open.clone()))
     }
 
+    fn idle_longest(&self) -> Option<Idle> {
+        let mut idle = self.idle();
+        let lists = idle.values_mut().filter(|list| !list.is_empty());
+        Some(lists.min_by_key(|list| list[0].since)?.remove(0))
+    }
+
     /// The outcome if there is none; each proves that nothing ran. Guards against blaming an upstream for our own
     /// lack of room.
     async fn connection(&self, addr: SocketAddr, by: Instant) -> Result<Pooled, Outcome> {
-        if let Some(kept) = self.kept(addr) {
-            return Ok(kept);
+        while let Some(Idle { pooled, since }) = self.kept(addr) {
+            // To wait costs less than another connection.
+            sleep_until(since + REST).await;
+            // What has arrived unseen, a close or bytes, ends the connection before this goes on: in one turn the
+            // runtime looks at the sockets, in the next it runs what has something to read.
+            yield_now().await;
+            yield_now().await;
+            if pooled.connection.sender.is_ready() {
+                return Ok(Pooled { idle_for: since.elapsed(), ..pooled });
+            }
         }
-        let slot = self.slot().ok_or(Outcome::Moot)?;
-        let by = by.min(Instant::now() + self.connect_timeout);
-        let opened = timeout_at(by, TcpConnection::open(addr)).await.ok().and_then(Result::ok);
-        let mut connection = opened.ok_or(Outcome::ConnectFailed)?;
+        let slot = self.slot().await.ok_or(Outcome::Moot)?;
+        let since = Instant::now();
+        let by = by.min(since + self.connect_timeout);
+        let opened = timeout_at(by, TcpConnection::open(addr, slot)).await;
+        let opened = opened.map_err(|_| self.waited_in_vain(addr, since))?;
+        let mut connection = match opened {
+            Err(OpenError::Ours(_)) => return Err(Outcome::Moot),
+            opened => {
+                self.vain().remove(&addr);
+                opened.map_err(|_| Outcome::ConnectFailed)?
+            }
+        };
         connection.sender.ready().await.map_err(|_| Outcome::ConnectFailed)?;
-        Ok(Pooled { connection, idle_for: Duration::ZERO, _slot: slot })
+        Ok(Pooled { connection, idle_for: Duration::ZERO })
+    }
+
+    /// What a connection proves that has not come up since then. Guards against blaming an upstream for a client with
+    /// little time left, and against never learning of one where such clients are all that come: their waits add up
+    /// to the time that a connection may take, and what waited at once counts once.
+    fn waited_in_vain(&self, addr: SocketAddr, since: Instant) -> Outcome {
+        let (now, mut vain) = (Instant::now(), self.vain());
+        let (waited, until) = vain.remove(&addr).unwrap_or((Duration::ZERO, since));
+        let waited = waited + now.saturating_duration_since(until.max(since));
+        if waited.max(now - since) >= self.connect_timeout {
+            return Outcome::ConnectFailed;
+        }
+        vain.insert(addr, (waited, now));
+        Outcome::Moot
     }
 
     /// One attempt, from choosing a connection to the end of the answer, or until it is passed on. Each step is
     /// reported first, then the connection is made ready for the next.
-    pub async fn attempt(
-        self, target: Arc<Target>, outbound: Arc<Outbound>, timeout: Duration, report: Report,
-    ) {
+    pub async fn attempt(self, target: Arc<Target>, outbound: Arc<Outbound>, terms: Terms, report: Report) {
         let ended = |outcome| report(Step::Ended(outcome, Served::default()));
-        let mut by = Instant::now() + timeout;
-        let mut pooled = match self.connection(target.addr, by).await {
-            Ok(pooled) => pooled,
-            Err(outcome) => return ended(outcome),
+        let Terms { since, timeout, begin_by } = terms;
+        // The time of a client that still writes has not begun.
+        let due = || match &outbound.body {
+            RequestBody::Held(_) => since + timeout,
+            RequestBody::Open(upload) => upload.writing_at().max(since) + timeout,
         };
+        let mut by = due();
+        let connect_by = begin_by.map_or(by, |begin_by| begin_by.min(by));
         let mut news = match &outbound.body {
             RequestBody::Held(_) => None,
             RequestBody::Open(upload) => Some(upload.sent()),
         };
-        // Guards against sending to an upstream that has begun to drain, or for a client that has left, while the
-        // connection came up, and what is left of a body for all of it.
-        let spent = news.as_ref().is_some_and(|news| *news.borrow() != Sent::Nothing);
-        if spent || !target.open.load(Ordering::Relaxed) || !outbound.end.lets_begin() {
-            return ended(Outcome::Moot);
-        }
-        let left = by.saturating_duration_since(Instant::now());
-        let metrics = self.metrics.clone();
-        let mut request = Request::new(Outgoing::new(outbound.body.clone(), move || metrics.count_attempt()));
-        *request.method_mut() = outbound.method.clone();
-        *request.uri_mut() = outbound.uri.clone();
-        *request.headers_mut() = outbound.headers.clone();
-        if let Ok(budget) = format!("{:.4}", left.as_secs_f64()).parse() {
-            request.headers_mut().insert("X-Budget", budget);
-        }
         let mut uploading = false;
-        let (outcome, had, content_type) = {
-            let answer = self.answer(&mut pooled, request);
-            tokio::pin!(answer);
-            loop {
-                tokio::select! {
-                    biased;
-                    answer = &mut answer => break answer,
-                    sent = sent(&mut news) => match sent {
-                        Sent::Nothing => {}
-                        Sent::Begun => {
-                            uploading = true;
-                            report(Step::Uploading);
-                        }
-                        Sent::Whole => {
-                            if !std::mem::replace(&mut uploading, false) {
+        let (pooled, (outcome, had, content_type)) = loop {
+            let mut pooled = match self.connection_to(&target, connect_by).await {
+                Ok(pooled) => pooled,
+                Err(outcome) => return ended(outcome),
+            };
+            // Guards against sending what is left of a body for all of it.
+            if news.as_ref().is_some_and(|news| *news.borrow() != Sent::Nothing) {
+                return ended(Outcome::Moot);
+            }
+            // A connection may come up long after the attempt was decided on, and after its client has left. It is as
+            // good as any for another.
+            by = due();
+            let now = Instant::now();
+            if !outbound.end.lets_begin() || begin_by.unwrap_or(by).min(by) <= now {
+                ended(Outcome::Moot);
+                // Unused, it goes on ageing: its upstream counts from its last request.
+                let idle_since = now.checked_sub(pooled.idle_for).unwrap_or(now);
+                return self.keep(target.addr, pooled, idle_since);
+            }
+            let answer = {
+                let answer = self.answer(&mut pooled, self.request(&outbound, by - now));
+                tokio::pin!(answer);
+                loop {
+                    tokio::select! {
+                        biased;
+                        answer = &mut answer => break answer,
+                        sent = sent(&mut news) => match sent {
+                            Sent::Nothing => {}
+                            Sent::Begun => {
+                                uploading = true;
                                 report(Step::Uploading);
                             }
-                            by = Instant::now() + timeout;
-                            report(Step::Uploaded);
+                            Sent::Whole => {
+                                if !std::mem::replace(&mut uploading, false) {
+                                    report(Step::Uploading);
+                                }
+                                by = due();
+                                report(Step::Uploaded);
+                            }
+                            Sent::Broken(_) => break (Outcome::Reset, None, None),
+                        },
+                        () = sleep_until(by) => {
+                            by = due();
+                            if by <= Instant::now() {
+                                break (Outcome::Timeout, None, None);
+                            }
                         }
-                        Sent::Broken(_) => break (Outcome::Moot, None, None),
-                    },
-                    () = sleep_until(by), if !uploading => break (Outcome::Timeout, None, None),
+                    }
                 }
+            };
+            // Guards against blaming an upstream that has closed what it may close: another connection may be good.
+            if answer.0 != Outcome::Moot {
+                break (pooled, answer);
             }
         };
         // Guards against sending again what has begun to go out unnoticed, and against blaming an upstream for a
@@ -283,16 +397,17 @@
         }
         let outcome = match (outcome, state) {
             (_, Sent::Broken(_)) => Outcome::Moot,
-            (Outcome::Reset, Sent::Begun | Sent::Nothing) => Outcome::ConnectFailed,
+            (Outcome::Reset | Outcome::Timeout, Sent::Begun | Sent::Nothing) => Outcome::ConnectFailed,
             _ => outcome,
         };
         self.learned().note(pooled.idle_for, outcome == Outcome::Reset, Instant::now());
         match had {
             Some(Had::More(first, body, share)) if outcome == Outcome::Ok => {
                 let end = report.clone();
-                let passing = Passing::new(first, body, share, content_type, move |outcome| {
+                let passing = Passing::new(first, body, share, content_type, by, move |outcome| {
                     end(Step::Ended(outcome, Served::default()));
-                    if outcome == Outcome::Ok {
+                    // As below: it may have answered before it had all of the request.
+                    if outcome == Outcome::Ok && state == Sent::Whole {
                         tokio::spawn(self.keep_ready(target, pooled));
                     }
                 });
@@ -300,7 +415,9 @@
             }
             Some(Had::Whole(body)) => {
                 report(Step::Ended(outcome, Served { body, content_type }));
-                if matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Error) {
+                // Guards against giving the rest to an upstream that has answered already: it would run what is
+                // held to be over, or wait for it for ever where the rest is dropped.
+                if state == Sent::Whole && matches!(outcome, Outcome::Ok | Outcome::Full | Outcome::Error) {
                     self.keep_ready(target, pooled).await;
                 }
             }
@@ -308,7 +425,21 @@
         }
     }
 
-    /// Writes a request and reads its answer as far as it is held.
+    /// What is written to an upstream, which is told the time that is left.
+    fn request(&self, outbound: &Outbound, left: Duration) -> Request<Outgoing> {
+        let metrics = self.metrics.clone();
+        let body = Outgoing::new(outbound.body.clone(), move || metrics.count_attempt());
+        let mut request = Request::new(body);
+        *request.method_mut() = outbound.method.clone();
+        *request.uri_mut() = outbound.uri.clone();
+        *request.headers_mut() = outbound.headers.clone();
+        if let Ok(budget) = format!("{:.4}", left.as_secs_f64()).parse() {
+            request.headers_mut().insert("X-Budget", budget);
+        }
+        request
+    }
+
+    /// Writes a request and reads its answer as far as it is held. Moot: a kept connection was closed before that.
     async fn answer(
         &self, pooled: &mut Pooled, request: Request<Outgoing>,
     ) -> (Outcome, Option<Had>, Option<HeaderValue>) {
@@ -317,11 +448,18 @@
             Err(mut error) => {
                 // Given back unwritten: it never left. Else it may have.
                 let unsent = error.take_message().map(|message| message.into_body().forget()).is_some();
-                let outcome = if unsent { Outcome::ConnectFailed } else { Outcome::Reset };
+                let outcome = match pooled.idle_for {
+                    _ if !unsent => Outcome::Reset,
+                    Duration::ZERO => Outcome::ConnectFailed,
+                    _ => Outcome::Moot,
+                };
                 return (outcome, None, None);
             }
         };
         let (head, body) = answer.into_parts();
+        if !is_framed_once(&head.headers) {
+            return (Outcome::Reset, None, None);
+        }
         let rejected = head.headers.get("X-Rejected").is_some_and(|value| value == "1");
         // Guards against an answer that is not whole: what is small is passed on only when all of it is here.
         let Some(had) = read_answer(body, |bytes| self.budget.take(bytes)).await else {
@@ -338,24 +476,39 @@
     /// Keeps a connection whose answer is over, unless it closes.
     async fn keep_ready(self, target: Arc<Target>, mut pooled: Pooled) {
         if pooled.connection.sender.ready().await.is_ok() && target.open.load(Ordering::Relaxed) {
-            self.keep(target.addr, pooled);
+            self.keep(target.addr, pooled, Instant::now());
         }
     }
 
+    /// A connection to an upstream, unless it has begun to drain while that came up.
+    async fn connection_to(&self, target: &Target, by: Instant) -> Result<Pooled, Outcome> {
+        let pooled = self.connection(target.addr, by).await?;
+        if target.open.load(Ordering::Relaxed) { Ok(pooled) } else { Err(Outcome::Moot) }
+    }
+
     /// Asks an upstream how it is, and for its load where it reports any: the value of that name.
     pub async fn probe(
-        self, addr: SocketAddr, by: Instant, held_name: Option<&str>,
+        self, target: Arc<Target>, by: Instant, held_name: Option<&str>,
     ) -> (Outcome, Option<f64>) {
-        let mut pooled = match self.connection(addr, by).await {
+        let mut pooled = match self.connection_to(&target, by).await {
             Ok(pooled) => pooled,
             Err(outcome) => return (outcome, None),
         };
         let path = if held_name.is_some() { "/stats" } else { "/health/live" };
         let mut request = Request::new(Outgoing::empty());
         *request.uri_mut() = Uri::from_static(path);
-        request.headers_mut().extend(HeaderValue::from_str(&addr.to_string()).ok().map(|host| (HOST, host)));
+        let host = HeaderValue::from_str(&target.addr.to_string());
+        request.headers_mut().extend(host.ok().map(|host| (HOST, host)));
         let answer = async {
-            let answer = pooled.connection.sender.send_request(request).await.ok()?;
+            let answer = loop {
+                let mut error = match pooled.connection.sender.try_send_request(request).await {
+                    Ok(answer) => break answer,
+                    Err(error) => error,
+                };
+                // As with an attempt: what a kept connection gives back unwritten goes out on another.
+                request = error.take_message().filter(|_| !pooled.idle_for.is_zero())?;
+                pooled = self.connection_to(&target, by).await.ok()?;
+            };
             let status = answer.status();
             let body = Limited::new(answer.into_body(), HELD).collect().await.ok()?;
             Some((status, body.to_bytes()))
@@ -367,23 +520,38 @@
         };
         let report: Option<Value> = serde_json::from_slice(&body).ok();
         let held = report.and_then(|report| report[held_name?].as_f64()).filter(|held| held.is_finite());
-        if pooled.connection.sender.ready().await.is_ok() {
-            self.keep(addr, pooled);
-        }
+        self.keep_ready(target, pooled).await;
         (if status == StatusCode::OK { Outcome::Ok } else { Outcome::Full }, held)
     }
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
-    use tokio::net::{TcpListener, TcpSocket};
-    use tokio::sync::mpsc;
+    use std::future::poll_fn;
+    use std::task::Poll;
+    use tokio::net::{TcpListener, TcpStream};
+    use tokio::sync::mpsc::{self, UnboundedReceiver};
+    use tokio::time::advance;
 
     const LONG: Duration = Duration::from_secs(30);
 
-    async fn attempt(addr: SocketAddr, open: bool, connect_timeout: Duration) -> Outcome {
-        let upstreams = Upstreams::new(4, LONG, connect_timeout, Metrics::new(&[]), Budget::new(HELD));
+    fn upstreams(most: usize, connect_timeout: Duration) -> Upstreams {
+        Upstreams::new(most, LONG, connect_timeout, Metrics::new(&[]), Budget::new(HELD))
+    }
+
+    /// From now on.
+    fn terms(timeout: Duration) -> Terms {
+        Terms { since: Instant::now(), timeout, begin_by: None }
+    }
+
+    fn target(addr: SocketAddr, open: bool) -> Arc<Target> {
+        Arc::new(Target { addr, open: AtomicBool::new(open) })
+    }
+
+    async fn begin(
+        upstreams: &Upstreams, addr: SocketAddr, open: bool, terms: Terms, wanted: bool,
+    ) -> UnboundedReceiver<Step> {
         let outbound = Outbound {
             method: Method::POST,
             uri: Uri::from_static("/api"),
@@ -391,68 +559,249 @@
             body: RequestBody::Held(Bytes::new()),
             end: RequestEnd::never(),
         };
-        let target = Arc::new(Target { addr, open: AtomicBool::new(open) });
-        let (told, mut steps) = mpsc::unbounded_channel();
+        if !wanted {
+            outbound.end.settle();
+        }
+        let (told, steps) = mpsc::unbounded_channel();
         let report = move |step| assert!(told.send(step).is_ok());
-        upstreams.attempt(target, Arc::new(outbound), LONG, Arc::new(report)).await;
+        upstreams.clone().attempt(target(addr, open), Arc::new(outbound), terms, Arc::new(report)).await;
+        steps
+    }
+
+    async fn attempt(
+        upstreams: &Upstreams, addr: SocketAddr, open: bool, begin_by: Option<Instant>, wanted: bool,
+    ) -> Outcome {
+        let mut steps = begin(upstreams, addr, open, Terms { begin_by, ..terms(LONG) }, wanted).await;
         let Some(Step::Ended(outcome, _)) = steps.recv().await else { panic!("one outcome") };
         outcome
     }
 
+    /// What comes next; nothing at the end.
+    pub async fn read(stream: &TcpStream) -> String {
+        let mut bytes = [0; 1_024];
+        loop {
+            stream.readable().await.expect("an end");
+            match stream.try_read(&mut bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => break String::from_utf8_lossy(&bytes[..read.expect("an end")]).into_owned(),
+            }
+        }
+    }
+
     #[tokio::test]
     async fn nothing_is_sent_to_an_upstream_that_drains_while_its_connection_comes_up() {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
-        let (outcome, accepted) = tokio::join!(attempt(addr, false, LONG), listener.accept());
+        let to = upstreams(4, LONG);
+        let (outcome, accepted) = tokio::join!(attempt(&to, addr, false, None, true), listener.accept());
         assert_eq!(outcome, Outcome::Moot);
-        let stream = accepted.expect("a connection").0;
-        let mut bytes = [0; 64];
-        let read = loop {
-            stream.readable().await.expect("an end");
-            match stream.try_read(&mut bytes) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                read => break read,
-            }
-        };
-        assert_eq!(read.expect("an end"), 0);
+        assert_eq!(read(&accepted.expect("a connection").0).await, "");
+        // Nor does a look at it go out.
+        let look = to.probe(target(addr, false), Instant::now() + LONG, None);
+        let (look, accepted) = tokio::join!(look, listener.accept());
+        assert_eq!(look, (Outcome::Moot, None));
+        assert_eq!(read(&accepted.expect("a connection").0).await, "");
     }
 
     #[tokio::test]
-    async fn a_connection_that_never_comes_up_proves_that_nothing_ran() {
+    async fn an_attempt_that_is_late_or_not_wanted_any_more_is_not_written_and_its_connection_stays() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (upstreams, addr) = (upstreams(4, LONG), listener.local_addr().expect("an address"));
+        let pooled = upstreams.connection(addr, Instant::now() + LONG).await.expect("a connection");
+        let (second, now) = (Duration::from_secs(1), Instant::now());
+        let since = now.checked_sub(10 * second).expect("the machine has run for longer");
+        upstreams.keep(addr, pooled, since);
+        for (begin_by, wanted) in [(Some(now), true), (None, false)] {
+            assert_eq!(attempt(&upstreams, addr, true, begin_by, wanted).await, Outcome::Moot);
+            let idle = upstreams.idle();
+            assert!(
+                idle[&addr].len() == 1 && idle[&addr][0].since < since + second,
+                "kept for another, as old"
+            );
+        }
+        drop(upstreams);
+        assert_eq!(read(&listener.accept().await.expect("a connection").0).await, "");
+    }
+
+    /// Nobody accepts there: since the backlog is full, no further connection comes up.
+    async fn deaf() -> (TcpListener, Vec<TcpStream>, SocketAddr) {
         let socket = TcpSocket::new_v4().expect("a socket");
         socket.bind(([127, 0, 0, 1], 0).into()).expect("a port");
         let listener = socket.listen(1).expect("listening");
         let addr = listener.local_addr().expect("an address");
-        // Nobody accepts: once the backlog is full, no further connection comes up.
-        let mut waiting = Vec::new();
-        let by = Duration::from_millis(200);
+        let (mut waiting, by) = (Vec::new(), Duration::from_millis(200));
         while let Ok(Ok(stream)) = tokio::time::timeout(by, TcpStream::connect(addr)).await {
             waiting.push(stream);
         }
-        assert_eq!(attempt(addr, true, Duration::from_millis(50)).await, Outcome::ConnectFailed);
+        (listener, waiting, addr)
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_answer_without_a_length_that_is_held_is_whole_at_a_close_and_none_at_a_reset() {
+        for (reset, whole) in [(false, Outcome::Ok), (true, Outcome::Reset)] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let (to, addr) = (upstreams(4, LONG), listener.local_addr().expect("an address"));
+            let serve = async {
+                let (stream, _) = listener.accept().await.expect("a connection");
+                read(&stream).await;
+                stream.try_write(b"HTTP/1.0 200 OK\r\n\r\nbegun").expect("written");
+                socket2::SockRef::from(&stream).set_linger(reset.then_some(Duration::ZERO)).expect("set");
+            };
+            let (outcome, ()) = tokio::join!(attempt(&to, addr, true, None, true), serve);
+            assert_eq!(outcome, whole);
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_attempt_that_waits_for_its_connection_tells_what_is_left_and_does_not_begin_after_its_time() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (to, addr) = (upstreams(4, LONG), listener.local_addr().expect("an address"));
+        let ms = Duration::from_millis;
+        let early = terms(ms(1_000));
+        advance(ms(990)).await;
+        let (pooled, accepted) = tokio::join!(to.connection(addr, Instant::now() + LONG), listener.accept());
+        to.keep(addr, pooled.unwrap_or_else(|_| panic!("a connection")), Instant::now());
+        // It rests until the time of the first is just over.
+        let mut steps = begin(&to, addr, true, early, true).await;
+        assert!(matches!(steps.recv().await, Some(Step::Ended(Outcome::Moot, _))));
+        let late = terms(ms(1_250));
+        advance(ms(1_000)).await;
+        let stream = accepted.expect("a connection").0;
+        let (_, request) = tokio::join!(begin(&to, addr, true, late, true), read(&stream));
+        assert!(request.contains("x-budget: 0.2500"), "{request}");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn waits_for_a_connection_that_were_cut_short_are_evidence_only_once_they_add_up() {
+        let ms = Duration::from_millis;
+        let (listener, _waiting, addr) = deaf().await;
+        let to = upstreams(4, ms(200));
+        let asked = async |timeout: u64| {
+            let mut steps = begin(&to, addr, true, terms(ms(timeout)), true).await;
+            let Some(Step::Ended(outcome, _)) = steps.recv().await else { panic!("one outcome") };
+            outcome
+        };
+        let (moot, failed) = (Outcome::Moot, Outcome::ConnectFailed);
+        assert_eq!([asked(80).await, asked(80).await, asked(80).await], [moot, moot, failed]);
+        assert_eq!([asked(80).await, asked(300).await, asked(80).await], [moot, failed, moot]);
+        // A new start of the upstream ends the row.
+        assert_eq!(asked(80).await, moot);
+        advance(ms(1)).await;
+        let start = Instant::now();
+        to.retain(|_, at| at >= start);
+        assert_eq!(asked(80).await, moot);
+        assert_eq!(tokio::join!(asked(80), asked(80), asked(30)), (moot, moot, moot), "one wait of 80 ms");
+        // So does one that comes up in between.
+        listener.accept().await.expect("room for one more");
+        assert_eq!(asked(80).await, Outcome::Timeout);
+        assert_eq!([asked(80).await, asked(80).await, asked(80).await], [moot, moot, failed]);
     }
 
     #[tokio::test]
-    async fn connections_stay_within_the_limit_and_the_one_idle_longest_gives_way() {
-        let upstreams = Upstreams::new(2, LONG, LONG, Metrics::new(&[]), Budget::new(HELD));
-        let mut listeners = Vec::new();
-        for _ in 0..3 {
-            listeners.push(TcpListener::bind("127.0.0.1:0").await.expect("a port"));
+    async fn a_connection_that_never_comes_up_proves_that_nothing_ran() {
+        let (_listener, _waiting, addr) = deaf().await;
+        let soon = Duration::from_millis(50);
+        assert_eq!(attempt(&upstreams(4, soon), addr, true, None, true).await, Outcome::ConnectFailed);
+        // What may not begin any more says nothing of the upstream.
+        let begin_by = Some(Instant::now() + soon);
+        let to = upstreams(4, LONG);
+        assert_eq!(attempt(&to, addr, true, begin_by, true).await, Outcome::Moot);
+        assert_eq!(to.open.load(Ordering::Relaxed), 0, "its place is free again");
+    }
+
+    /// Answers the first request with this, and then drips more of it; what becomes of the answer, and when.
+    async fn answered(
+        answer: String, more: &'static str, drip: Duration, room: usize, timeout: Duration,
+    ) -> (Option<Outcome>, usize, Duration) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let to = Upstreams::new(4, LONG, LONG, Metrics::new(&[]), Budget::new(room));
+        tokio::spawn(async move {
+            let (stream, _) = listener.accept().await.expect("a connection");
+            read(&stream).await;
+            let mut rest = answer.as_bytes();
+            while stream.writable().await.is_ok() {
+                match stream.try_write(rest) {
+                    Ok(written) => rest = &rest[written..],
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                    Err(_) => return,
+                }
+                if rest.is_empty() {
+                    tokio::time::sleep(drip).await;
+                    rest = if drip.is_zero() { answer.as_bytes() } else { more.as_bytes() };
+                }
+            }
+        });
+        let (since, mut steps) = (Instant::now(), begin(&to, addr, true, terms(timeout), true).await);
+        let mut passing = match steps.recv().await.expect("a step") {
+            Step::Started(passing) => passing,
+            Step::Ended(outcome, _) => return (Some(outcome), 0, since.elapsed()),
+            Step::Uploading | Step::Uploaded => panic!("nothing goes up"),
+        };
+        let mut passed = 0;
+        loop {
+            match passing.frame().await {
+                Some(Ok(frame)) => passed += frame.data_ref().map_or(0, Bytes::len),
+                end => break (end.is_none().then_some(Outcome::Ok), passed, since.elapsed()),
+            }
         }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_answer_that_does_not_end_is_cut_while_it_counts_by_its_last_byte_in_the_clients_time() {
+        let known = |length: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\nbegun");
+        let open = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbegun\r\n".to_owned();
+        let (time, drip, none) = (Duration::from_secs(1), Duration::from_secs(4), Duration::ZERO);
+        let longest = Duration::from_secs(1_048);
+        // What has no room, what has no length, what drips for ever, and what never ends.
+        for (answer, drip, room, cut) in [
+            (known(9), drip, 0, time),
+            (open, drip, HELD, time),
+            (known(HELD + 1), drip, HELD, longest),
+            (known(1 << 40), none, HELD, none),
+        ] {
+            let (whole, passed, after) = answered(answer.clone(), "x", drip, room, time).await;
+            assert!(whole.is_none() && passed as u64 <= crate::bodies::LONGEST, "{answer}: {passed}");
+            assert!(after >= cut && after < cut + drip.max(time), "{answer}: {after:?}");
+        }
+        // A head that never ends, and others before it without end.
+        let drip = Duration::from_millis(30);
+        for (answer, more) in [("HTTP/1.1 200 OK\r\nX: x", "x"), ("HTTP/1.1 1", "02 X\r\n\r\nHTTP/1.1 1")] {
+            let (outcome, _, after) = answered(answer.to_owned(), more, drip, HELD, time).await;
+            assert!(
+                outcome == Some(Outcome::Timeout) && after < 2 * time,
+                "{answer}: {outcome:?}, {after:?}"
+            );
+        }
+    }
+
+    #[tokio::test]
+    async fn connections_stay_within_the_limit_and_the_one_idle_longest_gives_way() {
+        let upstreams = upstreams(2, LONG);
+        let listeners = [(); 3].map(|()| std::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
         let addr = |i: usize| listeners[i].local_addr().expect("an address");
         let by = Instant::now() + LONG;
         let first = upstreams.connection(addr(0), by).await.expect("room");
         let _second = upstreams.connection(addr(1), by).await.expect("room");
         let none = upstreams.connection(addr(2), by).await.err();
         assert_eq!(none, Some(Outcome::Moot), "both are in use, which says nothing of the third");
-        upstreams.keep(addr(0), first);
-        assert!(upstreams.connection(addr(2), by).await.is_ok(), "the idle one gave way");
+        upstreams.keep(addr(0), first, Instant::now());
+        // Its socket has closed before there is another.
+        let mut next = Box::pin(upstreams.connection(addr(2), by));
+        poll_fn(|context| Poll::Ready(next.as_mut().poll(context).is_ready())).await;
+        listeners[2].set_nonblocking(true).expect("set");
+        assert!(listeners[2].accept().is_err(), "one too many");
+        let third = next.await;
+        assert!(third.is_ok(), "the idle one gave way");
+        assert_eq!(upstreams.open.load(Ordering::Relaxed), 2);
+        drop(third);
+        yield_now().await;
         assert_eq!(upstreams.open.load(Ordering::Relaxed), 1);
     }
 
     #[tokio::test]
     async fn a_connection_idle_for_longer_than_they_stay_good_is_not_used_again() {
-        let upstreams = Upstreams::new(4, LONG, LONG, Metrics::new(&[]), Budget::new(HELD));
+        let upstreams = upstreams(4, LONG);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         let now = Instant::now();
@@ -466,4 +815,64 @@
             assert_eq!(upstreams.kept(addr).is_some(), good);
         }
     }
+
+    #[tokio::test]
+    async fn what_a_kept_connection_gives_back_unwritten_goes_out_on_another() {
+        for probe in [false, true] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let (upstreams, addr) = (upstreams(4, LONG), listener.local_addr().expect("an address"));
+            let by = Instant::now() + LONG;
+            let (pooled, accepted) = tokio::join!(upstreams.connection(addr, by), listener.accept());
+            upstreams.keep(addr, pooled.unwrap_or_else(|_| panic!("a connection")), Instant::now());
+            sleep_until(Instant::now() + 2 * REST).await;
+            let serve = async {
+                // It closes between the last look at it and the write.
+                yield_now().await;
+                drop(accepted);
+                let (stream, _) = listener.accept().await.expect("another");
+                let request = read(&stream).await;
+                stream.try_write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("written");
+                request
+            };
+            let asked = async { tokio::time::timeout(LONG, serve).await.expect("a request") };
+            let ask = async {
+                match probe {
+                    true => upstreams.clone().probe(target(addr, true), by, None).await.0,
+                    false => attempt(&upstreams, addr, true, None, true).await,
+                }
+            };
+            let (outcome, request) = tokio::join!(ask, asked);
+            let path = if probe { "GET /health/live" } else { "POST /api" };
+            assert!(outcome == Outcome::Ok && request.starts_with(path), "{outcome:?}, {request}");
+        }
+    }
+
+    #[tokio::test]
+    async fn what_comes_on_a_resting_connection_is_no_answer_to_the_next_request() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (upstreams, addr) = (upstreams(4, LONG), listener.local_addr().expect("an address"));
+        let by = Instant::now() + LONG;
+        let connection = async || upstreams.connection(addr, by).await.expect("a connection");
+        for stray in [None, Some("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2"), Some("HTTP/1."), Some("")]
+        {
+            let (pooled, accepted) = tokio::join!(connection(), listener.accept());
+            let (stream, rests_since) = (accepted.expect("a connection").0, Instant::now());
+            upstreams.keep(addr, pooled, rests_since);
+            if stray.is_some() {
+                sleep_until(rests_since + 2 * REST).await;
+            }
+            // In the moment of the reuse: the connection's own task has no turn between.
+            match stray {
+                Some("") => drop(stream),
+                Some(stray) => assert_eq!(stream.try_write(stray.as_bytes()).expect("written"), stray.len()),
+                None => {}
+            }
+            let again = connection().await;
+            assert_eq!(again.idle_for.is_zero(), stray.is_some(), "{stray:?}");
+            if stray.is_some() {
+                drop(listener.accept().await);
+            }
+            assert!(stray.is_some() || rests_since.elapsed() >= REST);
+        }
+    }
 }
