--- a/src/api.rs
+++ b/src/api.rs
@@ -184,6 +184,9 @@
     Gone,
 }
 
+/// The zone of a server whose zone the settings don't name. There may be several of these: it is no group.
+pub const UNNAMED: u16 = u16::MAX;
+
 /// One line of the server list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
@@ -193,7 +196,7 @@
     pub availability: Availability,
     /// Its cell.
     pub cell: u16,
-    /// Its zone.
+    /// Its zone, or [`UNNAMED`].
     pub zone: u16,
     /// Its kind of machine: servers of a kind suit the classes alike.
     pub kind: u8,
--- a/src/bin/juniperspoke/config.rs
+++ b/src/bin/juniperspoke/config.rs
@@ -1,5 +1,6 @@
 //! What a sidecar is told at its start: the environment and its JSON into typed values.
 
+use crate::list::server_id;
 use micapier::api::Settings;
 use micapier::names::flat_name;
 use micapier::settings::{self, SettingError, Surroundings};
@@ -13,6 +14,8 @@
 /// The most descriptors, and megabytes of memory, where the configuration names no limit.
 const SOCKETS: usize = 1_024;
 const MEMORY_MB: f64 = 32.0;
+/// So much of a sidecar's name is part of a file's.
+const NAME: usize = 64;
 /// The time between two reports to the fleet's control plane, where the configuration names none, and its bounds:
 /// a report counts for 3 s, and more than ten a second tell nothing new.
 const REPORT_MS: u64 = 1_000;
@@ -118,6 +121,10 @@
         let addr = |key, text: String, var: &str| parse_addr(key, env(var).unwrap_or(text));
         let discovery_peers = parse_addrs("discovery_peers", json.discovery_peers)?;
         let seed = u64::from_str_radix(&json.seed, 16);
+        let memory = json.limits.memory_mb.unwrap_or(MEMORY_MB);
+        if memory <= 0.0 {
+            return Err(ConfigError::Value { key: "limits.memory_mb", text: memory.to_string() });
+        }
         let mut flat = String::new();
         flatten("", &json.settings, &mut flat);
         Ok(Config {
@@ -132,7 +139,7 @@
                 .transpose()?,
             seed: seed.map_err(|_| ConfigError::Value { key: "seed", text: json.seed })?,
             sockets: json.limits.sockets.unwrap_or(SOCKETS),
-            memory: (json.limits.memory_mb.unwrap_or(MEMORY_MB) * 1e6) as usize,
+            memory: (memory * 1e6) as usize,
             known: json.known,
             settings: settings::parse(&flat)?,
             surroundings: settings::surroundings(&flat)?,
@@ -141,9 +148,11 @@
 }
 
 /// A sidecar's name as a part of a file's. Guards against a name that is none, and against another sidecar's files
-/// where the folder is shared.
+/// where the folder is shared: a name that has to be changed is told from others by its hash.
 pub fn file_name(sidecar: &str) -> String {
-    sidecar.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect()
+    let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '_' };
+    let name: String = sidecar.chars().map(plain).take(NAME).collect();
+    if name == sidecar { name } else { format!("{name}-{:x}", server_id(sidecar).0) }
 }
 
 fn file() -> Result<String, ConfigError> {
@@ -233,6 +242,11 @@
         assert_eq!(config.surroundings.zones, ["a_b", "c"]);
         assert_eq!(config.surroundings.classes, ["pay"]);
         assert_eq!(config.surroundings.tenants, ["t_u", ""]);
+        // Of two that are spelt alike neither is told from the other, so neither is named.
+        let more =
+            JSON.replace("{\"share\":1}", r#"{"name":"t,u"},{"name":"t"},{"name":"T"},{"name":"t u "}"#);
+        let tenants = Config::read(&more, |_| None).expect("readable").surroundings.tenants;
+        assert_eq!(tenants, ["", "", "t", "T", "t_u_"]);
         assert!(config.fleet.is_none());
         let with = |fleet: &str| {
             Config::read(&JSON.replacen("{\"name\"", &format!("{fleet},\"name\""), 1), |_| None)
@@ -245,6 +259,16 @@
         assert_eq!(config.surroundings.held_name.as_deref(), Some("concurrent"));
     }
 
+    #[test]
+    fn no_two_sidecars_share_a_file() {
+        assert_eq!(file_name("n3"), "n3");
+        let long = "n".repeat(300);
+        let names = ["n-1", "n_1", "n.1", "N-1", "n 1", "", "../n1", &long, &long[1..]];
+        let files: std::collections::HashSet<String> = names.map(file_name).into();
+        assert!(files.len() == names.len() && files.iter().all(|file| file.len() < 100), "{files:?}");
+        assert!(!files.iter().any(|file| file.contains(['/', '.'])), "{files:?}");
+    }
+
     #[test]
     fn the_example_is_a_configuration() {
         let example = include_str!("../../../deploy/examples/sidecar.json");
--- a/src/bin/juniperspoke/control.rs
+++ b/src/bin/juniperspoke/control.rs
@@ -100,6 +100,8 @@
     }
 
     async fn serve(&self, stream: TcpStream, id: u64) {
+        // Without it answers are merely slower.
+        drop(stream.set_nodelay(true));
         let service = service_fn(|request| async move {
             let allowed = method(request.uri().path()).filter(|method| request.method() != method);
             let answer = match allowed {
@@ -113,7 +115,8 @@
             Ok::<_, Infallible>(response)
         });
         let mut http = http1::Builder::new();
-        http.keep_alive(false).max_buf_size(MAX_HEAD).timer(TokioTimer::new());
+        // Who ends its sending with its call waits for the answer.
+        http.keep_alive(false).half_close(true).max_buf_size(MAX_HEAD).timer(TokioTimer::new());
         http.header_read_timeout(PATIENCE);
         // Whatever ends it, there is nobody left to tell.
         drop(http.serve_connection(TokioIo::new(stream), service).await);
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -22,6 +22,7 @@
 use hyper_util::rt::TokioIo;
 use micapier::api::{Idempotency, Origin};
 use micapier::names::flat_name;
+use micapier::settings::LONGEST;
 use std::collections::HashSet;
 use std::convert::Infallible;
 use std::hash::{BuildHasher, RandomState};
@@ -47,6 +48,8 @@
     "upgrade",
     "x-budget",
 ];
+/// What a request has once at most. Guards against the sidecar going by the one and an upstream by the other.
+const ONCE: [&str; 5] = ["x-call-id", "x-call-class", "x-caller", "x-budget", "idempotency-key"];
 /// So many request ids are remembered at least. A copy comes while its original is out or soon after.
 const REMEMBERED: usize = 8_192;
 /// The wait after an accept that failed, as when there are no descriptors left.
@@ -347,6 +350,9 @@
         if twofold {
             return Err(bad("both a length and chunked framing"));
         }
+        if ONCE.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
+            return Err(bad("a header twice"));
+        }
         let class = text(&head.headers, "x-call-class").map(flat_name);
         let class = self.config.surroundings.classes.iter().position(|name| Some(name) == class.as_ref());
         let class = class.ok_or(bad("no such class"))?;
@@ -354,7 +360,7 @@
         let idempotency = self.config.settings.classes.get(class).ok_or(bad("no such class"))?.idempotency;
         check(&head, idempotency)?;
         let cost = text(&head.headers, "x-call-cost").and_then(|us| us.trim().parse::<f64>().ok());
-        let cost = cost.and_then(|us| Duration::try_from_secs_f64(us / 1e6).ok());
+        let cost = cost.and_then(|us| time(us / 1e6));
         let again = text(&head.headers, "x-again") == Some("1");
         let origin = if again { Origin::ClientRetry } else { Origin::Fresh };
         // A tenant is of interest to the fleet's plan alone, and who is not in the settings has no name there.
@@ -399,11 +405,16 @@
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
+    std::str::from_utf8(headers.get(name)?.as_bytes()).ok()
+}
+
+/// Guards against a time that can't be added to a clock's reading.
+fn time(seconds: f64) -> Option<Duration> {
+    Duration::try_from_secs_f64(seconds).ok().filter(|time| *time <= LONGEST)
 }
 
 fn seconds(headers: &HeaderMap, name: &str) -> Option<Duration> {
-    Duration::try_from_secs_f64(text(headers, name)?.trim().parse::<f64>().ok()?).ok()
+    time(text(headers, name)?.trim().parse::<f64>().ok()?)
 }
 
 /// Is this head one that the application sends for a request that may be repeated so?
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,6 +5,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+/// The longest time that is read as one. Guards against one that can't be added to a clock's reading.
+pub const LONGEST: Duration = Duration::from_secs(100 * 365 * 86_400);
+
 /// A setting that is missing without a safe default, or that cannot be read.
 #[derive(Debug, thiserror::Error)]
 #[error("setting {key}: {problem}")]
@@ -40,12 +43,13 @@
     }
 }
 
+/// No price, share, worth or multiple is below zero.
 fn number(text: &str) -> Option<f64> {
-    text.parse::<f64>().ok().filter(|n| n.is_finite())
+    text.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0)
 }
 
 fn time(text: &str) -> Option<Duration> {
-    Duration::try_from_secs_f64(number(text)? / 1e3).ok()
+    Duration::try_from_secs_f64(number(text)? / 1e3).ok().filter(|time| *time <= LONGEST)
 }
 
 /// Counts of listed objects stay in the range of the indices that the wire has for them.
@@ -72,7 +76,9 @@
             whole: pairs.number("blend.whole", 1.0)? + pairs.number("blend.worstWindow", 0.0)?,
             worst_class: pairs.number("blend.worstClass", 0.0)?,
         },
-        max_attempts: pairs.parse("policyLimits.mostTries", count)?.unwrap_or(1),
+        max_attempts: pairs
+            .parse("policyLimits.mostTries", |text| count(text).filter(|&most| most > 0))?
+            .unwrap_or(1),
         cancel: pairs.permit("policyLimits.cancel")?,
         probes: pairs.permit("policyLimits.probes")?,
         max_retry_after: match pairs.permit("policyLimits.retryAfter")? {
@@ -154,7 +160,7 @@
     pub kinds: Vec<String>,
     /// The names of the classes, by index.
     pub classes: Vec<String>,
-    /// The names of the tenants, by index.
+    /// The names of the tenants, by index; empty for one without a name of its own.
     pub tenants: Vec<String>,
     /// A connection that isn't made by then never comes up.
     pub connect_timeout: Duration,
@@ -169,17 +175,32 @@
         let names = pairs.0.get(key).filter(|text| !text.is_empty());
         names.map_or(Vec::new(), |text| text.split(',').map(String::from).collect())
     };
-    let classes = pairs.need("requestClasses.count", count)?;
-    let name = |i| pairs.need(&format!("requestClasses.{i}.name"), |text| Some(text.to_owned()));
+    let count_of_classes = pairs.need("requestClasses.count", count)?;
+    let mut classes: Vec<String> = Vec::new();
+    for i in 0..count_of_classes {
+        let key = format!("requestClasses.{i}.name");
+        let name = pairs.need(&key, |text| Some(text.to_owned()))?;
+        // Guards against requests of one class that are taken for another's.
+        if classes.contains(&name) {
+            return Err(SettingError { key, problem: format!("{name:?} is another's, too") });
+        }
+        classes.push(name);
+    }
     // Tenants decide nothing by themselves: a count that can't be read is none.
     let tenants = pairs.0.get("orgs.count").and_then(|text| count(text)).unwrap_or(0);
     let tenant =
         |i| pairs.0.get(format!("orgs.{i}.name").as_str()).map_or(String::new(), ToString::to_string);
+    let all: Vec<String> = (0..tenants).map(tenant).collect();
+    // Guards against one tenant's requests that are taken for another's: two spelt alike count as not named.
+    let mut of_name = HashMap::<&str, usize>::new();
+    all.iter().for_each(|name| *of_name.entry(name).or_default() += 1);
+    let own = |name: &String| if of_name[name.as_str()] == 1 { name.clone() } else { String::new() };
+    let tenants = all.iter().map(own).collect();
     Ok(Surroundings {
         zones: list("areas"),
         kinds: list("skus"),
-        classes: (0..classes).map(name).collect::<Result<_, _>>()?,
-        tenants: (0..tenants).map(tenant).collect(),
+        classes,
+        tenants,
         connect_timeout: pairs.time("policyLimits.connectTimeout", 250.0)?,
         held_name: held_field(text).and_then(|at| list("report.fields").get(at).cloned()),
     })
