Idle clients that fill the descriptors give way to one that has a request

What callers saw: a request on a new connection that waited 16 s while clients that asked for nothing held all places, and connections in use closed.

Cause: whom to evict was a turn of all that had ever carried a request; clients that never said anything were never asked, and each evicted one came back.

Change: of those that have carried a request, the one whose last is the longest ago gives way; where there is no place at all, so does a newcomer that has said nothing for 0.5 s, unless something of its request has come.

--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -57,7 +57,10 @@
 /// One of so many places is kept free for newcomers.
 const SPARE: usize = 16;
 /// Where there is no room, another connection is asked after this time to give way.
-const GIVE_WAY: Duration = Duration::from_secs(1);
+const EVICT_AFTER: Duration = Duration::from_secs(1);
+/// Where there is none at all, a newcomer that has said nothing for so long gives way too: clients that ask for
+/// nothing would keep those that do waiting for places.
+const SILENCE: Duration = Duration::from_millis(500);
 /// Connections that have come before the end of listening are accepted for so long at most. Guards against clients who
 /// come again as fast as they are sent away: the next process waits for the address.
 const STOP_GRACE: Duration = Duration::from_millis(100);
@@ -97,7 +100,9 @@
     life: Arc<Life>,
     metrics: Arc<Metrics>,
     /// Told once for each connection that has to close as soon as it is between requests.
-    give_way: Notify,
+    evict_idle: Notify,
+    /// The same for newcomers that have said nothing.
+    evict_silent: Notify,
     room: Arc<Semaphore>,
     /// Places that are kept free for newcomers.
     spare: usize,
@@ -139,7 +144,8 @@
             seen: Mutex::default(),
             life,
             metrics,
-            give_way: Notify::new(),
+            evict_idle: Notify::new(),
+            evict_silent: Notify::new(),
             room: Arc::new(Semaphore::new(most)),
             spare: most / SPARE,
             used: AtomicUsize::new(0),
@@ -206,7 +212,7 @@
                     if !std::mem::replace(&mut failing, true) {
                         tracing::warn!("accept: {error}");
                     }
-                    self.give_way.notify_one();
+                    self.evict_idle.notify_one();
                     sleep(ACCEPT_AGAIN).await;
                 }
             }
@@ -218,14 +224,23 @@
     async fn permit(&self) -> Option<OwnedSemaphorePermit> {
         loop {
             if self.room.available_permits() <= self.spare {
-                self.give_way.notify_one();
+                self.evict_idle.notify_one();
             }
-            if let Ok(permit) = timeout(GIVE_WAY, self.room.clone().acquire_owned()).await {
+            if self.room.available_permits() == 0 {
+                self.evict_silent.notify_one();
+            }
+            if let Ok(permit) = timeout(EVICT_AFTER, self.room.clone().acquire_owned()).await {
                 return permit.ok();
             }
         }
     }
 
+    /// Waits until one that has been silent since then has to give way.
+    async fn evicted_for_silence(&self, since: Instant) {
+        sleep_until(since + SILENCE).await;
+        self.evict_silent.notified().await;
+    }
+
     async fn serve(self: Arc<Self>, stream: TcpStream) {
         // Without it answers are merely slower.
         drop(stream.set_nodelay(true));
@@ -236,13 +251,13 @@
             let newcomer = (!used.swap(true, Ordering::Relaxed)).then_some(since);
             if newcomer.is_some() {
                 self.used.fetch_add(1, Ordering::Relaxed);
-                begun.notify_one();
             }
+            begun.notify_one();
             let (server, open, twofold) = (self.clone(), open.clone(), open.heads.next_is_twofold());
             async move { Ok::<_, Infallible>(server.answer(request, &open, twofold, newcomer).await) }
         });
-        let (mut life, mut closed, mut gives_way) = (self.life.watch(), None, false);
-        let mut ended = false;
+        let (mut life, mut closed) = (self.life.watch(), None);
+        let (mut evicted, mut heard_out, mut ended) = (false, false, false);
         let mut http = http1::Builder::new();
         // Who ends its sending may wait for its answer: what that means is judged here.
         http.max_buf_size(BUFFER).header_read_timeout(None).half_close(true);
@@ -262,9 +277,19 @@
                 }
                 Ok(()) = life.changed() => if !life.borrow().close_all { continue },
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => closed = due,
-                // A newcomer whose first request is on its way is not asked.
-                () = begun.notified(), if !used.load(Ordering::Relaxed) => continue,
-                () = self.give_way.notified(), if used.load(Ordering::Relaxed) && !gives_way => gives_way = true,
+                // A newcomer whose first request is on its way is not asked; of the others the one whose last request
+                // is the longest ago, since each waits anew from its request on.
+                () = begun.notified() => continue,
+                () = self.evicted_for_silence(since), if !used.load(Ordering::Relaxed) && !heard_out => {
+                    heard_out = true;
+                    if open.heads.has_next() || open.socket.has_more() {
+                        self.evict_silent.notify_one();
+                    } else if self.room.available_permits() == 0 {
+                        connection.as_mut().graceful_shutdown();
+                    }
+                    continue;
+                }
+                () = self.evict_idle.notified(), if used.load(Ordering::Relaxed) && !evicted => evicted = true,
             }
             // Guards against closing on a newcomer whose first request is on its way, ...
             if used.load(Ordering::Relaxed) || life.borrow().close_all {
@@ -502,6 +527,40 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::future::poll_fn;
+    use tokio::time::advance;
+
+    #[tokio::test(start_paused = true)]
+    async fn what_has_come_unread_as_its_connection_closes_is_answered() {
+        for place_is_wanted in [false, true] {
+            let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
+            let (life, metrics) = (Arc::new(Life::new()), Metrics::new(&[]));
+            let server = Server::new(config, Handle::new().0, life.clone(), metrics, Budget::new(0), 4);
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let addr = listener.local_addr().expect("an address");
+            let (client, accepted) = tokio::join!(TcpStream::connect(addr), listener.accept());
+            let (client, accepted) = (client.expect("accepted"), accepted.expect("one").0);
+            let mut serving = Box::pin(server.clone().serve(accepted));
+            let mut turn = async || poll_fn(|context| Poll::Ready(serving.as_mut().poll(context))).await;
+            assert!(turn().await.is_pending());
+            advance(SILENCE).await;
+            // The runtime does not look at the sockets in between.
+            client.try_write(b"GET /health/ready HTTP/1.1\r\nHost: n0\r\n\r\n").expect("written");
+            if place_is_wanted {
+                server.room.forget_permits(4);
+                server.evict_silent.notify_one();
+            } else {
+                life.close_all();
+            }
+            assert!(turn().await.is_pending());
+            let said = tokio::select! {
+                () = serving => String::new(),
+                said = crate::upstream::tests::read(&client) => said,
+            };
+            assert!(said.starts_with("HTTP/1.1 503"), "{place_is_wanted}: {said:?}");
+            assert!(place_is_wanted || said.contains("connection: close"), "{said:?}");
+        }
+    }
 
     #[test]
     fn a_used_id_is_known_for_long_and_the_memory_stays_bounded() {
