Slow start: the fleet's sum of calls to a cold server stays within its budget

What callers saw: cold upstreams that fell over under what thirty sidecars sent them, each within its own bound; servers that start in the place of others held to be lost or to have failed for what the old process did; keyed repeats in zones that are not known to be one, which ran twice.

Cause: a sidecar bounded its part by its warmth alone, not by how many servers a request is drawn from nor by its share of the fleet; what was in flight as a server started anew counted against the new process; all zones without a name were one group.

Change: a cold server takes part in the draws of requests below a bound on their lot, so that the sum over all sidecars stays within the budget (N calls and its slack) with the number of sidecars, sizes and the subset known from settings and list. A new start clears what its zone showed; failures of what was sent before are nobody's. Repeats stay out of unnamed zones. After a failed call discovery is asked again within 2.5 s, without a server within 1 s.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -47,8 +47,14 @@
 /// be saved up, for the moment a server with much in flight goes silent.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_BURST: f64 = 10.0;
-/// Discovery is called within this share of the time it must be asked in.
+/// Discovery is called within this share of the time it must be asked in, and sooner after a call that
+/// failed: what it can tell again counts as told 6 s later, and the next call may stand in its queue for 3 s.
+/// Who has no server to send to asks sooner still: there is no list to go by meanwhile.
 const ASK_WITHIN: f64 = 0.5;
+const ASK_AGAIN: Duration = Duration::from_millis(2_500);
+const ASK_WITHOUT: Duration = Duration::from_secs(1);
+/// But no sooner than this, whatever the settings allow: a call that is refused takes no time.
+const ASK_LEAST: Duration = Duration::from_millis(20);
 /// Held requests are looked at this many ticks apart at least.
 const PULSE_TICKS: f64 = 4.0;
 /// Pairs looked at before a request is refused.
@@ -61,6 +67,9 @@
 /// servers to draw from are enough that the draw is one, also when some of them are ejected.
 const KEPT_BY: f64 = 4.0;
 const SUBSET: usize = 8;
+/// The part of its budget up to which a cold server is drawn, of a fleet that is asked all it can do. It does
+/// not win each draw: what it gets stays under the budget, also of a fleet that is asked a fifth more.
+const COLD_PART: f64 = 1.25;
 /// Timer marks beyond all request ids.
 const ASK_TIMER: TimerId = TimerId(1 << 32);
 const PULSE_TIMER: TimerId = TimerId((1 << 32) + 1);
@@ -146,7 +155,7 @@
             ListNews::Delta(lines) => self.merge(false, lines),
             ListNews::Cached(lines) => {
                 self.begin(lines);
-                self.ask_later(out);
+                self.ask_later(Duration::MAX, out);
             }
             // Guards against serving by an old list where the predecessor would have known better. Starts of
             // that kind come one at a time: there is no crowd at discovery to keep out of.
@@ -156,7 +165,7 @@
             }
             ListNews::Failed => {
                 out.push(Action::Log(Note::ListFailed));
-                self.ask_later(out);
+                self.ask_later(ASK_AGAIN, out);
             }
         }
         if self.ready.is_empty() {
@@ -167,14 +176,16 @@
     fn begin(&mut self, lines: Vec<Listed>) {
         self.merge(true, lines);
         let all = WINDOW_START / f64::from(self.settings.instances.max(1));
-        self.window = all.max(1.0 / self.capacity());
+        // An empty list says nothing of how many there will be.
+        self.window = if self.ready.is_empty() { all } else { all.max(1.0 / self.capacity()) };
     }
 
     /// Guards against calls in step by all sidecars, at their start and after an outage, that discovery can't
     /// answer: each waits by chance, and less than what would count as being informed.
-    fn ask_later(&mut self, out: &mut Vec<Action>) {
+    fn ask_later(&mut self, most: Duration, out: &mut Vec<Action>) {
         if let Discovery::OnRequest { must_ask_in } = self.settings.discovery {
-            let after = must_ask_in.mul_f64(ASK_WITHIN * self.rng.f64());
+            let most = if self.ready.is_empty() { most.min(ASK_WITHOUT) } else { most };
+            let after = most.min(must_ask_in.mul_f64(ASK_WITHIN)).mul_f64(self.rng.f64()).max(ASK_LEAST);
             out.push(Action::SetTimer { timer: ASK_TIMER, after });
         }
     }
@@ -186,9 +197,8 @@
         if self.requests.contains_key(&id) {
             return;
         }
-        // Guards against a class the settings don't have and against clients that have given up:
-        // nothing has run, so a refusal is true.
-        let Some(kind) = self.settings.classes.get(class).filter(|_| !arrival.patience.is_zero()) else {
+        // Guards against a class the settings don't have: nothing has run, so a refusal is true.
+        let Some(kind) = self.settings.classes.get(class) else {
             return out.push(Action::Refuse { id, retry_after: None });
         };
         let (patience, cost) = (ms(arrival.patience), arrival.cost.map(ms).filter(|&cost| cost > 0.0));
@@ -197,9 +207,9 @@
         // its first try, and may have waited for all that its deadline leaves besides its patience.
         let repeat = arrival.origin == Origin::ClientRetry;
         let spent = if repeat { (ms(kind.deadline) - patience).max(0.0) } else { 0.0 };
-        // Guards against the last tries of clients that have nearly given up: the median answer would come
-        // too late for them, and the work be wasted. A first try waits for longer than its aim.
-        if patience < self.typical.min(whole_aim / 2.0) {
+        // Guards against the last tries of clients that have given up, or nearly so: the median answer would
+        // come too late for them, and the work be wasted. A first try waits for longer than its aim.
+        if arrival.patience.is_zero() || patience < self.typical.min(whole_aim / 2.0) {
             let advice = duration(whole_aim / 2.0);
             let retry_after = self.settings.max_retry_after.map(|most| most.min(advice));
             return out.push(Action::Refuse { id, retry_after });
@@ -443,9 +453,7 @@
         let soon = self.now + ms(self.settings.tick);
         match (self.settings.classes[request.job.class].idempotency, request.may_have_run()) {
             (_, None) | (Idempotency::Idempotent, _) => Some(None),
-            (Idempotency::Keyed { window, .. }, Some(first)) => {
-                (soon < first.sent + ms(window)).then_some(first.group)
-            }
+            (Idempotency::Keyed { window, .. }, Some(_)) => request.repeats_in(soon, window),
             (Idempotency::NonIdempotent, Some(_)) => None,
         }
     }
@@ -475,7 +483,6 @@
         }
         let class = request.job.class;
         let idempotency = self.settings.classes[class].idempotency;
-        let may = |s: &Server| self.may(request, group, s);
         let healthy = |s: &Server| self.is_healthy(idempotency, s);
         // Where crossing zones has a price, the draw keeps to those at home unlikely to miss the aim:
         // by Chebyshev's bound a miss is no likelier than (mean ÷ aim)², and while that is under the price,
@@ -486,8 +493,11 @@
             let mean = s.mean(self.now, self.typical) * self.fit(s, class);
             mean < bound && self.time_there(s, class) < PEAK_OVER_MEAN * bound
         };
-        let home = |s: &Server| may(s) && healthy(s) && near(s);
         let of_home = self.sites.get(&self.settings.zone).filter(|_| bound > 0.0);
+        let cold = self.cold_for(request, group, of_home.map_or(&[], Vec::as_slice), near);
+        let open = |s: &Server| self.warmth(s) >= 1.0 || cold.contains(&s.line.server);
+        let may = |s: &Server| self.may(request, group, s) && open(s);
+        let home = |s: &Server| may(s) && healthy(s) && near(s);
         let mut found = of_home.map_or(Vec::new(), |of| self.pair(of, usize::MAX, draws, home));
         // Guards against no choice: one server that is left at home would get all that comes, and what the
         // subset lacks is looked for in the whole list. If all look bad, all are used.
@@ -499,29 +509,79 @@
         if found.is_empty() {
             found = self.pair(&self.ready, usize::MAX, draws, may);
         }
-        // Guards against leaving unused for long what operators have brought back: cold and unknown, it would
-        // lose every draw to those that are idle. It is drawn each time until it has had one, and wins.
-        let untried = |s: &Server| self.is_untried(s) && may(s) && healthy(s);
-        let untried = |id: &&ServerId| self.servers.get(id).is_some_and(untried);
-        if let Some(&id) = self.returned.keys().find(untried) {
-            found.retain(|other| *other != id);
-            found.truncate(1);
-            found.insert(0, id);
-        }
         found
     }
 
-    /// May the request go to this server, whatever its health?
+    /// May the request go to this server, whatever its health and warmth?
     pub(crate) fn may(&self, request: &Request, group: Option<u16>, server: &Server) -> bool {
-        // Slow start. Guards against pushing over a cold server: of all requests, at all sidecars, only a
-        // share by lot may go there, its warmth times half the multiple at which it falls. At most twice its
-        // even share is drawn to it, and a fleet that is not overloaded has room for the even share.
-        let open = self.settings.slow_start.fall_multiple / 2.0;
         let in_group = group.is_none() || {
             let idempotency = self.settings.classes[request.job.class].idempotency;
             server.group(idempotency) == group
         };
-        in_group && !request.knows(server.line.server) && request.lot < self.warmth(server) * open
+        in_group && !request.knows(server.line.server)
+    }
+
+    /// Slow start: the cold servers that the request may go to. Guards against pushing one over by what all
+    /// sidecars send, each alone: of its own requests, each sends it no more than the share at which it would
+    /// fall if the fleet were asked a little more than it can do. That share is of the servers that the
+    /// request is drawn from, in the order in which `draw` looks for them. Where they are the sidecar's own
+    /// part of the list, it stands for the sidecars that have other parts.
+    fn cold_for(
+        &self, request: &Request, group: Option<u16>, home: &[ServerId], near: impl Fn(&Server) -> bool,
+    ) -> Vec<ServerId> {
+        if self.cold.iter().all(|&(_, started)| self.warmth_from(started) >= 1.0) {
+            return Vec::new();
+        }
+        let (ready, all) = (self.ready.as_slice(), self.ready.len());
+        let (start, part) = (self.own_start(ready), self.subset().min(all));
+        let sidecars = self.settings.instances.max(1) as usize;
+        let others = sidecars as f64 / (part * sidecars).div_ceil(all.max(1)).max(1) as f64;
+        let idempotency = self.settings.classes[request.job.class].idempotency;
+        let first = request.attempts.is_empty() && request.looks == 0;
+        let own = (ready, start..start + part, others, 2);
+        let looks = [(home, 0..home.len(), 1.0, 2), own, (ready, 0..all, 1.0, 1), (ready, 0..all, 1.0, 0)];
+        for (step, (of, places, spread, least)) in looks.into_iter().enumerate() {
+            let good = |s: &Server| step == 3 || self.is_healthy(idempotency, s) && (step > 0 || near(s));
+            let (mut rivals, mut cold) = (0, Vec::new());
+            for server in places.map(|at| &self.servers[&of[at % of.len()]]) {
+                if !self.may(request, group, server) || !good(server) {
+                    continue;
+                }
+                rivals += 1;
+                let warmth = self.warmth(server);
+                if warmth < 1.0 {
+                    let share = (size(server) / self.sizes).min(1.0 / all as f64);
+                    let budget = spread * COLD_PART * self.settings.slow_start.fall_multiple * warmth * share;
+                    cold.push((budget, server.line.server));
+                }
+            }
+            if rivals < least {
+                continue;
+            }
+            // A repeat is one more draw: it goes there only if it could go nowhere else.
+            let open = first || cold.len() == rivals;
+            return if open { Self::within(request.lot, cold, rivals, 1.0) } else { Vec::new() };
+        }
+        Vec::new()
+    }
+
+    /// Which of these cold servers a request of this lot may go to, so that each is sent at most its budget
+    /// of all that are drawn from so many rivals, which happens with this chance. A cold server takes part
+    /// below a bound on the lot. Below the least bound all take part, and each is drawn by 2 in so many; from
+    /// there to the next bound one takes part less. So the bounds follow in the order of the budgets: each
+    /// step is what the budget grows by, over the chance to be drawn within it.
+    pub(crate) fn within(
+        lot: f64, mut cold: Vec<(f64, ServerId)>, rivals: usize, chance: f64,
+    ) -> Vec<ServerId> {
+        cold.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (mut bound, mut before) = (0.0, 0.0);
+        let fits = |(at, (budget, id)): (usize, (f64, ServerId))| {
+            let drawn = (2.0 / (rivals - at) as f64).min(1.0) * chance;
+            bound += (budget - before) / drawn;
+            before = budget;
+            (lot < bound).then_some(id)
+        };
+        cold.into_iter().enumerate().filter_map(fits).collect()
     }
 
     /// Re-entry is by a single trial, and never with a request that has only one attempt.
@@ -530,7 +590,8 @@
         server.health == Health::Good || trial && server.is_due(self.now)
     }
 
-    /// Is it back by hand, and has had nothing since?
+    /// Is it back by hand, and has had nothing since? Cold and unknown, it would lose every draw to those
+    /// that are idle, and be left unused for long. It wins each, and is drawn as often as what is cold.
     fn is_untried(&self, server: &Server) -> bool {
         let back = self.returned.contains_key(&server.line.server);
         back && self.in_use(server) && server.usual == 0.0 && server.flights.is_empty()
@@ -578,7 +639,7 @@
         if self.is_untried(server) {
             return 0.0;
         }
-        let weight = server.line.weight.max(1.0) * self.warmth(server).sqrt();
+        let weight = size(server) * self.warmth(server).sqrt();
         let in_flight = server.held.unwrap_or(0.0).max(server.flights.len() as f64);
         self.time_there(server, class) * (in_flight + 1.0) / weight
     }
@@ -608,13 +669,13 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = request.attempts.get_mut(no).filter(|a| a.fate == Fate::Out) else { return };
         attempt.fate = if outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let (attempt, job, phase) = (*attempt, request.job, request.phase);
+        let (attempt, job, phase, spent) = (*attempt, request.job, request.phase, request.spent);
         self.land(attempt.server, (id, no));
         match outcome {
             // Its sample came at the start; who leaves in the midst says nothing of the server.
             Outcome::Ok | Outcome::Cancelled if phase == Phase::Streaming => {}
             Outcome::Ok => self.answered(&attempt, &job, took, out),
-            _ => self.unanswered(&attempt, &job, outcome, took, out),
+            _ => self.unanswered(&attempt, &job, outcome, took, spent, out),
         }
         let request = &self.requests[&id];
         if progress == Progress::Ended || outcome == Outcome::Ok || phase == Phase::Ended {
@@ -633,7 +694,8 @@
 
     fn stream(&mut self, id: RequestId, no: usize, took: f64, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let Some(&attempt) = request.attempts.get(no) else { return };
+        // Guards against news of an attempt that has ended: its request would wait for good.
+        let Some(&attempt) = request.attempts.get(no).filter(|a| a.fate == Fate::Out) else { return };
         // Guards against a stream that begins at the moment its client leaves: that request stays over.
         if request.phase != Phase::Ended {
             request.phase = Phase::Streaming;
@@ -672,9 +734,14 @@
     }
 
     /// A failure enters as max(measured, timeout); one cancelled by us tells that an answer takes longer.
-    fn unanswered(&mut self, of: &Attempt, job: &Job, outcome: Outcome, took: f64, out: &mut Vec<Action>) {
+    /// Where the body is spent, its server has taken some of it: it does take connections. What was sent
+    /// before the server's present start was known says nothing of that.
+    fn unanswered(
+        &mut self, of: &Attempt, job: &Job, outcome: Outcome, took: f64, spent: bool, out: &mut Vec<Action>,
+    ) {
         let (now, typical, mean, slow) = (self.now, self.typical, self.mean_latency, 2.0 * self.mean_latency);
-        let Some(server) = self.servers.get_mut(&of.server) else { return };
+        let server = self.servers.get(&of.server).filter(|server| of.sent >= server.since);
+        let Some(server) = server else { return };
         let (sample, blame, load) = match outcome {
             Outcome::Moot | Outcome::Ok => return,
             Outcome::Cancelled => (as_mean(took, of.scale, mean), took > job.aim / 2.0, true),
@@ -692,10 +759,11 @@
             server.fold(now, sample);
         }
         self.note_typical(sample);
+        let unreachable = outcome == Outcome::ConnectFailed && !spent;
         if blame {
-            self.strike(of.server, outcome == Outcome::ConnectFailed, out);
+            self.strike(of.server, unreachable, out);
         }
-        if outcome == Outcome::ConnectFailed {
+        if unreachable {
             self.darken(of.server, out);
         }
     }
@@ -720,7 +788,9 @@
     /// Attempts that may be in flight in all; none where a look tells more. What is lost or ejected takes its
     /// part along, so that it doesn't fall on the others at once.
     fn limit(&self) -> f64 {
-        if self.is_blind() { f64::MAX } else { self.window * self.capacity() }
+        // Guards against refusals by lot before a crowd was seen: servers that leave narrow it, too.
+        let least = if self.narrowed_at > 0.0 { 0.0 } else { 1.0 };
+        if self.is_blind() { f64::MAX } else { (self.window * self.capacity()).max(least) }
     }
 
     /// Servers in use, each counted by its warmth; what the plan closes is as good as ejected.
@@ -765,7 +835,7 @@
 
     /// An answer from a zone held to be lost: those that were ejected for their zone alone are back.
     fn relight(&mut self, zone: u16) {
-        if self.dark.remove(&zone).is_none_or(|dark| dark.len() < DARK) {
+        if self.dark.remove(&zone).is_none() {
             return;
         }
         for server in self.servers.values_mut().filter(|s| s.line.zone == zone && s.strikes == 0) {
--- a/src/route.rs
+++ b/src/route.rs
@@ -87,7 +87,11 @@
     }
 
     fn may_by(&self, request: &Request, group: Option<u16>, server: &Server) -> bool {
-        self.may(request, group, server) && self.is_let(request, group, server.line.zone)
+        // At most twice its even share is drawn to a cold server, and it falls at so many times its capacity.
+        let open = self.settings.slow_start.fall_multiple / 2.0;
+        self.may(request, group, server)
+            && request.lot < self.warmth(server) * open
+            && self.is_let(request, group, server.line.zone)
     }
 
     /// The plan's zones that the request may go to and that have servers in use, in an order drawn by their
@@ -132,11 +136,8 @@
     /// Cold budget. Guards against pushing over a server that many sidecars, each within its own rule, send
     /// to: where the plan bounds it, a cold server gets no more of this sidecar's requests than its size by
     /// its warmth times the plan's share. Each sidecar keeps to it of its own traffic, so the sum keeps to
-    /// it of all. A cold server takes part below a bound on the lot. Below the least bound all take part,
-    /// and each is drawn by 2 in so many; from there to the next bound one takes part less. So the bounds
-    /// follow in the order of the budgets: each step is what the budget grows by, over the chance to be
-    /// drawn within it. It may be drawn once: with the first attempt, at the first look, in the zone drawn
-    /// by the shares.
+    /// it of all. It may be drawn once: with the first attempt, at the first look, in the zone drawn by
+    /// the shares.
     fn pool(
         &self, plan: &Route, request: &Request, group: Option<u16>, of: &[ServerId], chance: f64,
     ) -> Vec<ServerId> {
@@ -144,7 +145,7 @@
         let fits = |s: &Server| self.may_by(request, group, s) && self.is_healthy(idempotency, s);
         let budget = |s: &Server| {
             let warmth = self.warmth(s);
-            plan.cold_share().filter(|_| warmth < 1.0).map(|share| share * s.line.weight.max(1.0) * warmth)
+            plan.cold_share().filter(|_| warmth < 1.0).map(|share| share * size(s) * warmth)
         };
         let own = self.own_start(of);
         let in_turn = (0..of.len()).map(|step| &self.servers[&of[(own + step) % of.len()]]);
@@ -155,16 +156,9 @@
                 Some(budget) => cold.push((budget, server.line.server)),
             }
         }
-        cold.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let once = request.attempts.is_empty() && request.looks == 0;
-        let (rivals, mut bound, mut before) = (pool.len() + cold.len(), 0.0, 0.0);
-        for (at, (budget, id)) in cold.into_iter().enumerate() {
-            let drawn = (2.0 / (rivals - at) as f64).min(1.0) * chance;
-            bound += (budget - before) / drawn;
-            before = budget;
-            if once && request.lot < bound {
-                pool.push(id);
-            }
+        if request.attempts.is_empty() && request.looks == 0 {
+            let rivals = pool.len() + cold.len();
+            pool.extend(Self::within(request.lot, cold, rivals, chance));
         }
         // Guards against no choice: what the subset lacks is looked for in all of them.
         if pool.len() < 2 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -50,6 +50,8 @@
 
 pub struct Server {
     pub line: Listed,
+    /// When it was first heard of, or of its present start.
+    pub since: f64,
     /// Peak-sensitive average in ms of a mean request; `None` before the first sample.
     pub ewma: Option<f64>,
     pub stamp: f64,
@@ -66,7 +68,8 @@
 impl Server {
     pub fn new(line: Listed, now: f64) -> Self {
         let (ewma, flights, health) = (None, Vec::new(), Health::Good);
-        Server { line, ewma, stamp: now, usual: 0.0, flights, held: None, strikes: 0, health }
+        let (since, stamp, usual, held, strikes) = (now, now, 0.0, None, 0);
+        Server { line, since, ewma, stamp, usual, flights, held, strikes, health }
     }
 
     /// Ejected, and due for a trial: one at a time.
@@ -178,6 +181,13 @@
         self.attempts.iter().find(|a| a.fate != Fate::NeverRan)
     }
 
+    /// Where what may have run may go again, if its repeats are dropped for so long: nowhere, anywhere or to this
+    /// group. Guards against two that run: no two servers of unnamed zones are known to be of one.
+    pub fn repeats_in(&self, soon: f64, window: Duration) -> Option<Option<u16>> {
+        let first = self.may_have_run().filter(|first| soon < first.sent + ms(window))?;
+        (first.group != Some(UNNAMED)).then_some(first.group)
+    }
+
     /// It was sent there, or is being considered for it.
     pub fn knows(&self, server: ServerId) -> bool {
         self.attempts.iter().any(|a| a.server == server) || self.candidates.iter().any(|c| c.0 == server)
@@ -229,6 +239,11 @@
     }
 }
 
+/// A server's size against others, by the list.
+pub fn size(server: &Server) -> f64 {
+    server.line.weight.max(1.0)
+}
+
 /// Puts an id into a list in order, or takes it out.
 fn set(list: &mut Vec<ServerId>, id: ServerId, present: bool) {
     match (list.binary_search(&id), present) {
@@ -253,6 +268,8 @@
     /// Servers that take requests, by id; the same by zone, ...
     pub(crate) ready: Vec<ServerId>,
     pub(crate) sites: BTreeMap<u16, Vec<ServerId>>,
+    /// What those that take requests are in size together, ...
+    pub(crate) sizes: f64,
     /// ... those that may still be cold, with their start, and those ejected.
     pub(crate) cold: Vec<(ServerId, f64)>,
     pub(crate) ejected: BTreeSet<ServerId>,
@@ -306,6 +323,7 @@
             servers: BTreeMap::new(),
             ready: Vec::new(),
             sites: BTreeMap::new(),
+            sizes: 0.0,
             cold: Vec::new(),
             ejected: BTreeSet::new(),
             banned: BTreeSet::new(),
@@ -346,15 +364,25 @@
         for line in lines {
             match self.servers.get_mut(&line.server) {
                 Some(known) if known.line.started == line.started => known.line = line,
-                // A new start is a new server: what was known of the old process says nothing of it.
-                Some(known) => {
-                    let flights = std::mem::take(&mut known.flights);
-                    *known = Server { flights, ..Server::new(line, self.now) };
-                }
-                None => drop(self.servers.insert(line.server, Server::new(line, self.now))),
+                _ => self.renew(line),
             }
         }
+        self.index_all(changed);
+    }
+
+    /// A new start is a new server: what was known of the old process says nothing of it, nor of its zone.
+    fn renew(&mut self, line: Listed) {
+        let (id, mut new) = (line.server, Server::new(line, self.now));
+        for dark in self.dark.values_mut() {
+            dark.remove(&id);
+        }
+        new.flights = self.servers.remove(&id).map_or(Vec::new(), |old| old.flights);
+        self.servers.insert(id, new);
+    }
+
+    fn index_all(&mut self, changed: impl IntoIterator<Item = ServerId>) {
         changed.into_iter().for_each(|id| self.index(id));
+        self.sizes = self.ready.iter().map(|id| size(&self.servers[id])).sum();
     }
 
     /// Brings the lists of servers up to date with what is known of one. Guards against growth without
@@ -502,14 +530,14 @@
         let before = std::mem::replace(&mut self.banned, banned);
         let warm_since = self.now - ms(self.settings.slow_start.ramp_time);
         self.returned.retain(|_, at| *at > warm_since);
-        for &id in before.difference(&self.banned) {
+        let back: Vec<ServerId> = before.difference(&self.banned).copied().collect();
+        for id in back {
             self.returned.insert(id, self.now);
-            if let Some(server) = self.servers.get_mut(&id) {
-                let flights = std::mem::take(&mut server.flights);
-                *server = Server { flights, ..Server::new(server.line.clone(), self.now) };
-            }
+            let line = self.servers.get(&id).map(|server| server.line.clone());
+            line.into_iter().for_each(|line| self.renew(line));
         }
-        before.symmetric_difference(&self.banned.clone()).for_each(|&id| self.index(id));
+        let changed: Vec<ServerId> = before.symmetric_difference(&self.banned).copied().collect();
+        self.index_all(changed);
     }
 
     pub(crate) fn set_timer(&self, id: RequestId, after: f64, out: &mut Vec<Action>) {
