A step of the wall clock makes no cold upstream warm, nor a warm one cold

Callers would see a cold upstream pushed over its budget, or warm ones held back for an hour, after the wall clock stepped while the process ran.

Cause: lists tell in Unix time when an upstream started, and that was compared with a clock that is Unix time at the process's start and even from there.

Change: starts.rs places each told start on the process's clock once, when it is first told.

--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -5,6 +5,7 @@
 use crate::config::Config;
 use crate::handle::{Answer, Handle, Happening, Inbound};
 use crate::list::News;
+use crate::starts::Starts;
 use crate::upstream::{Outbound, Served, Step, Target, Terms, Upstreams};
 use micapier::Balancer;
 use micapier::api::*;
@@ -93,6 +94,7 @@
     requests: HashMap<RequestId, Owed>,
     timers: BinaryHeap<Reverse<(Instant, Due)>>,
     servers: HashMap<ServerId, Arc<Target>>,
+    starts: Starts,
     banned: HashSet<ServerId>,
     upstreams: Upstreams,
     subscribe: Arc<Notify>,
@@ -102,13 +104,18 @@
     part: Option<Part>,
 }
 
+/// What the wall clock says; it may step.
+fn unix_time() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 impl Driver {
     /// `dark` is told when a zone newly looks dark, where the sidecar is part of a fleet.
     pub fn new(
         config: Arc<Config>, upstreams: Upstreams, subscribe: Arc<Notify>, dark: Option<Arc<Notify>>,
     ) -> (Driver, Handle) {
         let (handle, from) = Handle::new();
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let unix = unix_time();
         let driver = Driver {
             balancer: Balancer::new(config.settings.clone(), config.seed),
             started: (Instant::now(), unix),
@@ -117,6 +124,7 @@
             requests: HashMap::new(),
             timers: BinaryHeap::new(),
             servers: HashMap::new(),
+            starts: Starts::default(),
             banned: HashSet::new(),
             upstreams,
             subscribe,
@@ -353,11 +361,16 @@
         }
     }
 
+    /// Unix time at the start of the process, and even from there.
+    fn now(&self) -> Duration {
+        self.started.1 + self.started.0.elapsed()
+    }
+
     /// Tells the module one event and carries out what it says; what that causes at once comes after.
     fn handle_event(&mut self, event: Event) {
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
-            let now = self.started.1 + self.started.0.elapsed();
+            let now = self.now();
             let mut actions = std::mem::take(&mut self.actions);
             self.balancer.handle(now, event, &mut actions);
             events.extend(actions.drain(..).filter_map(|action| self.act(action)));
@@ -453,7 +466,8 @@
     }
 
     /// Brings the addresses up to date; the lines go on to the module.
-    fn take_over(&mut self, news: News) -> (bool, Vec<Listed>) {
+    fn take_over(&mut self, mut news: News) -> (bool, Vec<Listed>) {
+        self.place_starts(&mut news);
         if let Some(part) = &mut self.part {
             if news.complete {
                 part.zones.clear();
@@ -492,6 +506,23 @@
         (news.complete, news.members.into_iter().map(|(line, _)| line).collect())
     }
 
+    /// Puts the starts that a list tells in Unix time on the clock of the process.
+    fn place_starts(&mut self, news: &mut News) {
+        let (wall, now) = (unix_time(), self.now());
+        for (line, _) in &mut news.members {
+            line.started = line.started.map(|told| self.starts.place(line.server, told, wall, now));
+        }
+        if news.complete {
+            let named: HashSet<_> = news.members.iter().map(|(line, _)| line.server).collect();
+            self.starts.retain(|server| named.contains(&server));
+        }
+        for (line, _) in &news.members {
+            if line.availability == Availability::Gone {
+                self.starts.remove(line.server);
+            }
+        }
+    }
+
     /// Closes what is kept to upstreams that nothing new goes to, or that have started since it was opened.
     fn close_unused(&self, starts: &HashMap<SocketAddr, Instant>) {
         let open = self.servers.values().filter(|target| target.open.load(Ordering::Relaxed));
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod peer;
 mod server;
+mod starts;
 mod upstream;
 
 use bans::Bans;
