--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -23,6 +23,7 @@
 mod peer;
 mod server;
 mod starts;
+mod system;
 mod upstream;
 
 use bans::Bans;
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -11,6 +11,7 @@
 use crate::life::{Life, Stage};
 use crate::metrics::{Ending, Metrics, Ticket};
 use crate::peer::{Heads, Peer, Socket};
+use crate::system::is_shortage;
 use crate::upstream::{BUFFER, Outbound};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -26,6 +27,7 @@
 use std::collections::HashSet;
 use std::convert::Infallible;
 use std::hash::{BuildHasher, RandomState};
+use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -208,11 +210,14 @@
                         drop(permit);
                     });
                 }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
                     if !std::mem::replace(&mut failing, true) {
                         tracing::warn!("accept: {error}");
                     }
-                    self.evict_idle.notify_one();
+                    if is_shortage(&error) {
+                        self.evict_idle.notify_one();
+                    }
                     sleep(ACCEPT_AGAIN).await;
                 }
             }
--- /dev/null
+++ b/src/bin/juniperspoke/system.rs
@@ -0,0 +1,58 @@
+//! What errors of system calls say: of a signal, of this machine, or of the other side.
+
+use std::io;
+
+/// Makes a system call again as often as a signal interrupts it.
+pub fn retry_interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
+
+/// Does this machine lack descriptors, buffers or memory? Any other error of `accept` is of one connection.
+pub fn is_shortage(error: &io::Error) -> bool {
+    let shortages = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
+    error.raw_os_error().is_some_and(|errno| shortages.contains(&errno))
+}
+
+/// Does this error of `connect` say nothing of the other side?
+pub fn is_local(error: &io::Error) -> bool {
+    let local = [libc::EACCES, libc::EADDRNOTAVAIL, libc::EAGAIN, libc::EINTR, libc::EPERM];
+    is_shortage(error) || error.raw_os_error().is_some_and(|errno| local.contains(&errno))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_call_that_a_signal_interrupted_is_made_again() {
+        let mut results = [libc::EINTR, libc::EINTR, libc::EIO].into_iter();
+        let result = retry_interrupted(|| {
+            Err::<(), _>(io::Error::from_raw_os_error(results.next().expect("one more")))
+        });
+        assert_eq!(result.map_err(|error| error.raw_os_error()), Err(Some(libc::EIO)));
+    }
+
+    /// Guards against ejecting upstreams for what the sidecar's own machine lacks.
+    #[test]
+    fn only_errors_of_the_other_side_are_blamed_on_it() {
+        use libc::{EACCES, EADDRNOTAVAIL, EAGAIN, EINTR, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPERM};
+        use libc::{ECONNREFUSED, ECONNRESET, EHOSTUNREACH, ENETUNREACH, ETIMEDOUT};
+        let ours = [EACCES, EADDRNOTAVAIL, EAGAIN, EINTR, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPERM];
+        let theirs = [ECONNREFUSED, ECONNRESET, EHOSTUNREACH, ENETUNREACH, ETIMEDOUT];
+        assert!(ours.into_iter().all(|errno| is_local(&io::Error::from_raw_os_error(errno))));
+        assert!(!theirs.into_iter().any(|errno| is_local(&io::Error::from_raw_os_error(errno))));
+    }
+
+    /// Guards against closing idle connections for a client that has gone before it was accepted.
+    #[test]
+    fn an_error_of_one_connection_is_no_shortage() {
+        for errno in [libc::ECONNABORTED, libc::EPROTO, libc::EINTR, libc::EHOSTUNREACH, libc::EPERM] {
+            assert!(!is_shortage(&io::Error::from_raw_os_error(errno)), "{errno}");
+        }
+    }
+}
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -9,6 +9,7 @@
 use crate::leaving::RequestEnd;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
+use crate::system::is_local;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
@@ -50,6 +51,12 @@
     Theirs(io::Error),
 }
 
+impl OpenError {
+    fn of_connect(error: io::Error) -> OpenError {
+        if is_local(&error) { OpenError::Ours(error) } else { OpenError::Theirs(error) }
+    }
+}
+
 /// A connection whose socket closes with it, in one of the next turns.
 pub struct TcpConnection<B> {
     pub sender: SendRequest<B>,
@@ -66,7 +73,8 @@
     /// `place` is kept until the socket has closed.
     pub async fn open(addr: SocketAddr, place: impl Send + 'static) -> Result<Self, OpenError> {
         let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
-        let stream = socket.map_err(OpenError::Ours)?.connect(addr).await.map_err(OpenError::Theirs)?;
+        let connected = socket.map_err(OpenError::Ours)?.connect(addr).await;
+        let stream = connected.map_err(OpenError::of_connect)?;
         stream.set_nodelay(true).map_err(OpenError::Theirs)?;
         let mut http = http1::Builder::new();
         let handshake = http.max_buf_size(BUFFER).handshake(TokioIo::new(Peer::upstream(stream)));
