--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -214,6 +214,7 @@
             Happening::HungUp(id) => {
                 let owed = self.requests.get_mut(&id).and_then(Owed::settle);
                 if owed.is_some() {
+                    tracing::debug!(request = id.0, "client left");
                     self.handle_event(Event::HungUp(id));
                     self.forget(id);
                 }
@@ -269,6 +270,8 @@
         let by = ends.checked_sub(ANSWER_MARGIN).unwrap_or(now);
         let (answer, answer_by, attempts) = (Some(answer), Some(by), Vec::new());
         let Inbound { class, tenant, cost, origin, answer_by: at_the_latest, .. } = inbound;
+        let call = outbound.headers.get("x-call-id");
+        tracing::debug!(request = id.0, ?call, class, ?budget, ?by, "taken");
         let owed = Owed { outbound, class, tenant, budget, answer_by, at_the_latest, answer, attempts };
         self.requests.insert(id, owed);
         self.timers.push(Reverse((by, Due::Backstop(id))));
@@ -322,6 +325,7 @@
             return;
         }
         let took = flight.sent.elapsed();
+        tracing::debug!(request = id.0, attempt, ?outcome, ?took, "attempt ended");
         self.count_outcome(id, attempt, outcome, took);
         if outcome == Outcome::Ok {
             self.answer(id, Answer::Served(served));
@@ -348,6 +352,7 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         if let Some(to) = self.requests.get_mut(&id).and_then(Owed::settle) {
+            tracing::debug!(request = id.0, answer = answer.name(), "answered");
             // A client that has just left needs none.
             drop(to.send(answer));
         }
@@ -395,6 +400,7 @@
                 let flight = owed.attempts.get_mut(attempt)?;
                 flight.out.take()?.abort();
                 let took = flight.sent.elapsed();
+                tracing::debug!(request = id.0, attempt, ?took, "attempt cancelled");
                 let progress = if owed.answer.is_some() { Progress::Owed } else { Progress::Ended };
                 // A request that a silent site sits on is served elsewhere long before its attempt there times out.
                 let aim =
@@ -445,11 +451,13 @@
         let begins = owed.is_wanted() && owed.outbound.end.lets_begin();
         let target = self.servers.get(&server).filter(|_| begins).cloned();
         let Some(target) = target else {
+            tracing::debug!(request = id.0, attempt, server = server.0, begins, "attempt not begun");
             owed.attempts.push(Flight { sent: now, out: None, zone: u16::MAX, counted: false });
             let progress = if owed.is_wanted() { Progress::Owed } else { Progress::Ended };
             let (outcome, took) = (Outcome::Moot, Duration::ZERO);
             return Some(Event::Outcome { id, attempt, outcome, took, progress });
         };
+        tracing::debug!(request = id.0, attempt, server = server.0, addr = %target.addr, ?timeout, "attempt");
         let handle = self.handle.clone();
         let report = Arc::new(move |step| handle.tell(Happening::Attempt(id, attempt, step)));
         let zone = self.part.as_ref().and_then(|part| part.zones.get(&server)).copied().unwrap_or(u16::MAX);
--- a/src/bin/juniperspoke/handle.rs
+++ b/src/bin/juniperspoke/handle.rs
@@ -21,6 +21,18 @@
     Failed,
 }
 
+impl Answer {
+    /// As logs call it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Passing(_) => "passed on",
+            Answer::Refused(_) => "refused",
+            Answer::Failed => "failed",
+        }
+    }
+}
+
 /// A client's request, read to its end.
 pub struct Inbound {
     pub outbound: Outbound,
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -195,6 +195,7 @@
     }
     let (since, kill_after) = (Instant::now(), kill_after(&config));
     life.end(kill_after);
+    tracing::info!(?kill_after, connections = server.connections(), "SIGTERM: ending");
     let listen_for = kill_after.saturating_sub(LISTEN_MARGIN);
     // Newcomers to a socket that the platform holds are its other process's; nobody else has those to this one's.
     if shared {
@@ -205,6 +206,7 @@
         sleep(LOOK).await;
     }
     // What is owed then has its time: an end over it would lose what SIGKILL may find unanswered.
+    tracing::info!(after = ?since.elapsed(), connections = server.connections(), "accepts no more connections");
     life.close_all();
     server.stop();
     // The next process at these addresses waits for both; where another ran beside this one, it has a door of its own.
@@ -212,6 +214,7 @@
     while since.elapsed() < END_TIMEOUT && !(listening.is_finished() && server.is_empty()) {
         sleep(LOOK).await;
     }
+    tracing::info!(after = ?since.elapsed(), connections = server.connections(), "ended");
     Ok(())
 }
 
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -173,9 +173,14 @@
         self.used.load(Ordering::Relaxed) == 0 && self.accepted.borrow().elapsed() >= newcomers
     }
 
-    /// Is no connection open, not even one whose first request may be on its way?
+    /// How many connections are open, also those whose first request may be on its way.
+    pub fn connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Is no connection open?
     pub fn is_empty(&self) -> bool {
-        self.open.load(Ordering::Relaxed) == 0
+        self.connections() == 0
     }
 
     pub async fn listen(self: Arc<Self>, listener: TcpListener) {
@@ -299,6 +304,7 @@
             // Guards against closing on a newcomer whose first request is on its way, ...
             if used.load(Ordering::Relaxed) || life.borrow().close_all {
                 open.heads.close();
+                tracing::debug!(stage = ?life.borrow().stage, evicted, "a client's connection closes");
                 // ... and on what has come of a request, read or not: its answer closes.
                 if !open.heads.has_next() && !open.socket.has_more() {
                     connection.as_mut().graceful_shutdown();
@@ -321,7 +327,10 @@
             }
             _ => match self.read(request, on, twofold, newcomer).await {
                 Ok(inbound) => self.ask(inbound, on).await,
-                Err((status, why)) => plain(status, why),
+                Err((status, why)) => {
+                    tracing::debug!(status = status.as_u16(), why, "not taken");
+                    plain(status, why)
+                }
             },
         };
         if self.life.stage() != Stage::Serving {
