Answers of upstreams have a module of their own, apart from bodies of requests

Moved as it was; Passing is AnswerStream and Had is AnswerBody now. No change of behaviour; the program's unit tests pass.

--- /dev/null
+++ b/src/bin/juniperspoke/answer.rs
@@ -0,0 +1,177 @@
+//! Answers of upstreams on their way to clients: what is small is held whole, the rest passed on as it comes.
+
+use crate::bodies::{HELD, LONGEST, RATE, joined};
+use crate::budget::Share;
+use crate::metrics::{Ending, Ticket};
+use crate::peer::{Limit, STALL};
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::HeaderValue;
+use micapier::api::Outcome;
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// An answer of unknown length is held for so long at most: one over [`HELD`] is timed by its first bytes, and
+/// those of a short one are here by then.
+const UNKNOWN_LENGTH_HOLD: Duration = Duration::from_millis(20);
+
+/// An upstream's answer, read as far as it is held.
+pub enum AnswerBody {
+    Whole(Bytes),
+    /// More than is held, or than there is room for.
+    Begun(VecDeque<Bytes>, Incoming, Option<Share>),
+}
+
+/// Reads an answer that is small to its end; `None` if it breaks. `hold` gives room for it.
+pub async fn read_answer(mut body: Incoming, hold: impl Fn(usize) -> Option<Share>) -> Option<AnswerBody> {
+    let left = body.size_hint().exact();
+    let size = left.map_or(HELD, |left| usize::try_from(left).unwrap_or(usize::MAX));
+    let (mut first, mut held, until) = (VecDeque::new(), 0, Instant::now() + UNKNOWN_LENGTH_HOLD);
+    let Some(share) = (if size <= HELD { hold(size) } else { None }) else {
+        return Some(AnswerBody::Begun(first, body, None));
+    };
+    while held <= HELD {
+        let next = poll_fn(|context| Pin::new(&mut body).poll_frame(context));
+        let frame = match left {
+            Some(_) => next.await,
+            None => match timeout_at(until, next).await {
+                Ok(frame) => frame,
+                Err(_) => break,
+            },
+        };
+        let Some(frame) = frame else { return Some(AnswerBody::Whole(share.hold(joined(first)))) };
+        if let Ok(data) = frame.ok()?.into_data() {
+            held += data.len();
+            first.push_back(data);
+        }
+    }
+    Some(AnswerBody::Begun(first, body, Some(share)))
+}
+
+/// An answer that was cut, by its upstream or for its silence or length.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer ended before its end")]
+pub struct Cut;
+
+/// A long answer on its way to its client.
+pub struct AnswerStream {
+    first: VecDeque<Bytes>,
+    body: Incoming,
+    _share: Option<Share>,
+    silence: Limit,
+    /// Bytes passed on.
+    passed: u64,
+    /// When its client's time ends, and when the longest has to be over.
+    by: Instant,
+    over: Instant,
+    pub content_type: Option<HeaderValue>,
+    /// Told once how it ended.
+    ended: Option<Box<dyn FnOnce(Outcome) + Send>>,
+    /// The request's, from when the answer is taken over by its client's connection.
+    pub ticket: Option<Ticket>,
+}
+
+impl AnswerStream {
+    pub fn new(
+        first: VecDeque<Bytes>, body: Incoming, share: Option<Share>, content_type: Option<HeaderValue>,
+        by: Instant, ended: impl FnOnce(Outcome) + Send + 'static,
+    ) -> AnswerStream {
+        let (silence, ended) = (Limit::default(), Some(Box::new(ended) as Box<_>));
+        let over = Instant::now() + Duration::from_secs_f64(LONGEST as f64 / RATE);
+        AnswerStream {
+            first,
+            body,
+            _share: share,
+            silence,
+            passed: 0,
+            by,
+            over,
+            content_type,
+            ended,
+            ticket: None,
+        }
+    }
+
+    /// Until when its upstream may let us wait. What is no longer than [`HELD`] is timed by its last byte, so a client
+    /// has to be able to tell by the end of its time that this does not come. What is longer is timed by its first.
+    fn until(&self) -> Instant {
+        let short = self.passed + self.size_hint().exact().unwrap_or(0) <= HELD as u64;
+        (Instant::now() + STALL).min(if short { self.by } else { self.over })
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        let ending = if outcome == Outcome::Ok { Ending::Success } else { Ending::Failure };
+        self.ticket.take().into_iter().for_each(|ticket| ticket.end(ending));
+        self.ended.take().into_iter().for_each(|ended| ended(outcome));
+    }
+}
+
+impl Body for AnswerStream {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>, context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let this = &mut *self;
+        loop {
+            let frame = match this.first.pop_front() {
+                Some(bytes) => Some(Ok(Frame::data(bytes))),
+                None => match Pin::new(&mut this.body).poll_frame(context) {
+                    Poll::Ready(frame) => frame,
+                    Poll::Pending => {
+                        let until = this.until();
+                        ready!(this.silence.poll(|| until, context));
+                        this.end(Outcome::Reset);
+                        return Poll::Ready(Some(Err(Cut)));
+                    }
+                },
+            };
+            this.silence.over();
+            match frame {
+                Some(Ok(frame)) if frame.is_data() => {
+                    this.passed += frame.data_ref().map_or(0, |data| data.len() as u64);
+                    if this.passed > LONGEST {
+                        this.end(Outcome::Reset);
+                        return Poll::Ready(Some(Err(Cut)));
+                    }
+                    // With its length known, nobody asks for what comes after the last byte.
+                    if this.is_end_stream() {
+                        this.end(Outcome::Ok);
+                    }
+                    return Poll::Ready(Some(Ok(frame)));
+                }
+                Some(Ok(_)) => {}
+                Some(Err(_)) => {
+                    this.end(Outcome::Reset);
+                    return Poll::Ready(Some(Err(Cut)));
+                }
+                None => {
+                    this.end(Outcome::Ok);
+                    return Poll::Ready(None);
+                }
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.first.is_empty() && self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let first: usize = self.first.iter().map(Bytes::len).sum();
+        let left = self.body.size_hint().exact().map(|left| left + first as u64);
+        left.map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
+impl Drop for AnswerStream {
+    /// The client has left.
+    fn drop(&mut self) {
+        self.end(Outcome::Cancelled);
+    }
+}
--- a/src/bin/juniperspoke/bodies.rs
+++ b/src/bin/juniperspoke/bodies.rs
@@ -1,12 +1,9 @@
-//! Bodies on their way through, in both directions: what is small is held whole, the rest passed on as it comes.
+//! Bodies of clients' requests on their way to upstreams: what is small is held whole, the rest passed on as it comes.
 
 use crate::budget::Share;
-use crate::metrics::{Ending, Ticket};
-use crate::peer::{Heads, Limit, STALL};
+use crate::peer::{Heads, Limit};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::HeaderValue;
-use micapier::api::Outcome;
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -14,14 +11,14 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 /// A body of up to this size is held, so that it can be sent, or had, again.
 pub const HELD: usize = 64 * 1024;
 /// The longest body that goes through.
 pub const LONGEST: u64 = 32 * 1024 * 1024;
 /// Bytes a second that a client's body has to come at: half of what the slowest legal client sends.
-const RATE: f64 = 32_000.0;
+pub const RATE: f64 = 32_000.0;
 /// The most of a body that a client may have written before it is read here: as much as the system lets a send
 /// buffer grow to, if nobody has told it otherwise.
 const AHEAD: u64 = 4 * 1024 * 1024;
@@ -29,10 +26,6 @@
 const STEP: u64 = AHEAD / 16;
 /// What has come fast pays for a pause of this length at most.
 const PAUSE: Duration = Duration::from_secs(2);
-/// An answer of unknown length is held for so long at most: one over [`HELD`] is timed by its first bytes, and
-/// those of a short one are here by then.
-const UNKNOWN: Duration = Duration::from_millis(20);
-
 /// What is wrong with a client's body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BodyError {
@@ -185,7 +178,7 @@
 }
 
 /// Held pieces as one; one alone is not copied.
-fn joined(mut pieces: VecDeque<Bytes>) -> Bytes {
+pub fn joined(mut pieces: VecDeque<Bytes>) -> Bytes {
     match pieces.len() {
         0 | 1 => pieces.pop_front().unwrap_or_default(),
         _ => pieces.iter().flat_map(|piece| piece.iter().copied()).collect::<Vec<u8>>().into(),
@@ -369,163 +362,6 @@
     }
 }
 
-/// An upstream's answer, read as far as it is held.
-pub enum Had {
-    Whole(Bytes),
-    /// More than is held, or than there is room for.
-    More(VecDeque<Bytes>, Incoming, Option<Share>),
-}
-
-/// Reads an answer that is small to its end; `None` if it breaks. `hold` gives room for it.
-pub async fn read_answer(mut body: Incoming, hold: impl Fn(usize) -> Option<Share>) -> Option<Had> {
-    let left = body.size_hint().exact();
-    let size = left.map_or(HELD, |left| usize::try_from(left).unwrap_or(usize::MAX));
-    let (mut first, mut held, until) = (VecDeque::new(), 0, Instant::now() + UNKNOWN);
-    let Some(share) = (if size <= HELD { hold(size) } else { None }) else {
-        return Some(Had::More(first, body, None));
-    };
-    while held <= HELD {
-        let next = poll_fn(|context| Pin::new(&mut body).poll_frame(context));
-        let frame = match left {
-            Some(_) => next.await,
-            None => match timeout_at(until, next).await {
-                Ok(frame) => frame,
-                Err(_) => break,
-            },
-        };
-        let Some(frame) = frame else { return Some(Had::Whole(share.hold(joined(first)))) };
-        if let Ok(data) = frame.ok()?.into_data() {
-            held += data.len();
-            first.push_back(data);
-        }
-    }
-    Some(Had::More(first, body, Some(share)))
-}
-
-/// An answer that was cut, by its upstream or for its silence or length.
-#[derive(Debug, thiserror::Error)]
-#[error("the answer ended before its end")]
-pub struct Cut;
-
-/// A long answer on its way to its client.
-pub struct Passing {
-    first: VecDeque<Bytes>,
-    body: Incoming,
-    _share: Option<Share>,
-    silence: Limit,
-    /// Bytes passed on.
-    passed: u64,
-    /// When its client's time ends, and when the longest has to be over.
-    by: Instant,
-    over: Instant,
-    pub content_type: Option<HeaderValue>,
-    /// Told once how it ended.
-    ended: Option<Box<dyn FnOnce(Outcome) + Send>>,
-    /// The request's, from when the answer is taken over by its client's connection.
-    pub ticket: Option<Ticket>,
-}
-
-impl Passing {
-    pub fn new(
-        first: VecDeque<Bytes>, body: Incoming, share: Option<Share>, content_type: Option<HeaderValue>,
-        by: Instant, ended: impl FnOnce(Outcome) + Send + 'static,
-    ) -> Passing {
-        let (silence, ended) = (Limit::default(), Some(Box::new(ended) as Box<_>));
-        let over = Instant::now() + Duration::from_secs_f64(LONGEST as f64 / RATE);
-        Passing {
-            first,
-            body,
-            _share: share,
-            silence,
-            passed: 0,
-            by,
-            over,
-            content_type,
-            ended,
-            ticket: None,
-        }
-    }
-
-    /// Until when its upstream may let us wait. What is no longer than [`HELD`] is timed by its last byte, so a client
-    /// has to be able to tell by the end of its time that this does not come. What is longer is timed by its first.
-    fn until(&self) -> Instant {
-        let short = self.passed + self.size_hint().exact().unwrap_or(0) <= HELD as u64;
-        (Instant::now() + STALL).min(if short { self.by } else { self.over })
-    }
-
-    fn end(&mut self, outcome: Outcome) {
-        let ending = if outcome == Outcome::Ok { Ending::Success } else { Ending::Failure };
-        self.ticket.take().into_iter().for_each(|ticket| ticket.end(ending));
-        self.ended.take().into_iter().for_each(|ended| ended(outcome));
-    }
-}
-
-impl Body for Passing {
-    type Data = Bytes;
-    type Error = Cut;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>, context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        let this = &mut *self;
-        loop {
-            let frame = match this.first.pop_front() {
-                Some(bytes) => Some(Ok(Frame::data(bytes))),
-                None => match Pin::new(&mut this.body).poll_frame(context) {
-                    Poll::Ready(frame) => frame,
-                    Poll::Pending => {
-                        let until = this.until();
-                        ready!(this.silence.poll(|| until, context));
-                        this.end(Outcome::Reset);
-                        return Poll::Ready(Some(Err(Cut)));
-                    }
-                },
-            };
-            this.silence.over();
-            match frame {
-                Some(Ok(frame)) if frame.is_data() => {
-                    this.passed += frame.data_ref().map_or(0, |data| data.len() as u64);
-                    if this.passed > LONGEST {
-                        this.end(Outcome::Reset);
-                        return Poll::Ready(Some(Err(Cut)));
-                    }
-                    // With its length known, nobody asks for what comes after the last byte.
-                    if this.is_end_stream() {
-                        this.end(Outcome::Ok);
-                    }
-                    return Poll::Ready(Some(Ok(frame)));
-                }
-                Some(Ok(_)) => {}
-                Some(Err(_)) => {
-                    this.end(Outcome::Reset);
-                    return Poll::Ready(Some(Err(Cut)));
-                }
-                None => {
-                    this.end(Outcome::Ok);
-                    return Poll::Ready(None);
-                }
-            }
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.first.is_empty() && self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let first: usize = self.first.iter().map(Bytes::len).sum();
-        let left = self.body.size_hint().exact().map(|left| left + first as u64);
-        left.map_or_else(SizeHint::default, SizeHint::with_exact)
-    }
-}
-
-impl Drop for Passing {
-    /// The client has left.
-    fn drop(&mut self) {
-        self.end(Outcome::Cancelled);
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -310,7 +310,7 @@
             Step::Started(passing) => {
                 let took = flight.sent.elapsed();
                 self.count_outcome(id, attempt, Outcome::Ok, took);
-                self.answer(id, Answer::Passing(passing));
+                self.answer(id, Answer::Streamed(passing));
                 self.handle_event(Event::StreamStarted { id, attempt, took });
             }
             Step::Ended(outcome, served) => self.attempt_ended(id, attempt, outcome, served),
--- a/src/bin/juniperspoke/handle.rs
+++ b/src/bin/juniperspoke/handle.rs
@@ -1,6 +1,6 @@
 //! How the other parts tell the driver what happens, and what passes between them.
 
-use crate::bodies::Passing;
+use crate::answer::AnswerStream;
 use crate::list::{Names, News, server_id};
 use crate::upstream::{Outbound, Served, Step};
 use micapier::api::{Hosts, Origin, Outcome, RequestId, ServerId};
@@ -16,7 +16,7 @@
 pub enum Answer {
     Served(Served),
     /// A long one, as it comes.
-    Passing(Box<Passing>),
+    Streamed(Box<AnswerStream>),
     Refused(Option<Duration>),
     Failed,
 }
@@ -26,7 +26,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Answer::Served(_) => "served",
-            Answer::Passing(_) => "passed on",
+            Answer::Streamed(_) => "passed on",
             Answer::Refused(_) => "refused",
             Answer::Failed => "failed",
         }
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -2,6 +2,7 @@
 // `listener` has the one line that is allowed.
 #![deny(unsafe_code)]
 
+mod answer;
 mod bans;
 mod bodies;
 mod budget;
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -3,7 +3,8 @@
 //! Anyone may connect. What is no proper request of the application's goes no further: an upstream would
 //! answer it with an error, and the module would book that as the upstream's own.
 
-use crate::bodies::{BodyError, Cut, Intake, Passing, RequestBody};
+use crate::answer::{AnswerStream, Cut};
+use crate::bodies::{BodyError, Intake, RequestBody};
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::handle::{Answer, Handle, Inbound};
@@ -472,7 +473,7 @@
 /// The body of an answer to a client.
 enum Reply {
     Whole(Bytes),
-    Passing(Box<Passing>),
+    Streamed(Box<AnswerStream>),
 }
 
 impl Body for Reply {
@@ -485,21 +486,21 @@
         match &mut *self {
             Reply::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
             Reply::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Reply::Passing(passing) => Pin::new(passing).poll_frame(context),
+            Reply::Streamed(passing) => Pin::new(passing).poll_frame(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Reply::Whole(bytes) => bytes.is_empty(),
-            Reply::Passing(passing) => passing.is_end_stream(),
+            Reply::Streamed(passing) => passing.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Reply::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Reply::Passing(passing) => passing.size_hint(),
+            Reply::Streamed(passing) => passing.size_hint(),
         }
     }
 }
@@ -519,10 +520,10 @@
             response.headers_mut().extend(served.content_type.map(|value| (CONTENT_TYPE, value)));
             response
         }
-        Answer::Passing(mut passing) => {
+        Answer::Streamed(mut passing) => {
             passing.ticket = Some(ticket);
             let content_type = passing.content_type.take();
-            let mut response = Response::new(Reply::Passing(passing));
+            let mut response = Response::new(Reply::Streamed(passing));
             response.headers_mut().extend(content_type.map(|value| (CONTENT_TYPE, value)));
             response
         }
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -3,7 +3,8 @@
 //! The pool is our own, since those of client libraries send a request again by themselves when a kept
 //! connection breaks under it, and so may run it twice.
 
-use crate::bodies::{HELD, Had, Outgoing, Passing, RequestBody, Sent, read_answer};
+use crate::answer::{AnswerBody, AnswerStream, read_answer};
+use crate::bodies::{HELD, Outgoing, RequestBody, Sent};
 use crate::budget::Budget;
 use crate::idle::IdleLimit;
 use crate::leaving::RequestEnd;
@@ -144,7 +145,7 @@
     /// All of it has gone out.
     Uploaded,
     /// An answer has begun that is passed on as it comes.
-    Started(Box<Passing>),
+    Started(Box<AnswerStream>),
     Ended(Outcome, Served),
 }
 
@@ -410,9 +411,9 @@
         };
         self.learned().note(pooled.idle_for, outcome == Outcome::Reset, Instant::now());
         match had {
-            Some(Had::More(first, body, share)) if outcome == Outcome::Ok => {
+            Some(AnswerBody::Begun(first, body, share)) if outcome == Outcome::Ok => {
                 let end = report.clone();
-                let passing = Passing::new(first, body, share, content_type, by, move |outcome| {
+                let passing = AnswerStream::new(first, body, share, content_type, by, move |outcome| {
                     end(Step::Ended(outcome, Served::default()));
                     // As below: it may have answered before it had all of the request.
                     if outcome == Outcome::Ok && state == Sent::Whole {
@@ -421,7 +422,7 @@
                 });
                 report(Step::Started(Box::new(passing)));
             }
-            Some(Had::Whole(body)) => {
+            Some(AnswerBody::Whole(body)) => {
                 report(Step::Ended(outcome, Served { body, content_type }));
                 // Guards against giving the rest to an upstream that has answered already: it would run what is
                 // held to be over, or wait for it for ever where the rest is dropped.
@@ -450,7 +451,7 @@
     /// Writes a request and reads its answer as far as it is held. Moot: a kept connection was closed before that.
     async fn answer(
         &self, pooled: &mut Pooled, request: Request<Outgoing>,
-    ) -> (Outcome, Option<Had>, Option<HeaderValue>) {
+    ) -> (Outcome, Option<AnswerBody>, Option<HeaderValue>) {
         let answer = match pooled.connection.sender.try_send_request(request).await {
             Ok(answer) => answer,
             Err(mut error) => {
