Log: why an answer that is passed on ends, with its call, and each hold-up of the process

Now a cut is logged with its call, reason, bytes and lateness, and counted by reason; so is a hold-up of 50 ms or more, and at debug what broke a client's connection. The exact text of the figures is still asserted, with the new lines. No change of what is answered.

--- a/src/bin/juniperspoke/answer.rs
+++ b/src/bin/juniperspoke/answer.rs
@@ -22,8 +22,15 @@
 /// An upstream's answer, read as far as it is held.
 pub enum AnswerBody {
     Whole(Bytes),
-    /// More than is held, or than there is room for.
-    Begun(VecDeque<Bytes>, Incoming, Option<Share>),
+    Begun(Begun),
+}
+
+/// An answer of which there is more than is held, or than there is room for.
+pub struct Begun {
+    /// What has been read.
+    first: VecDeque<Bytes>,
+    body: Incoming,
+    _share: Option<Share>,
 }
 
 /// Reads an answer that is small to its end; `None` if it breaks. `hold` gives room for it.
@@ -32,7 +39,7 @@
     let size = left.map_or(HELD, |left| usize::try_from(left).unwrap_or(usize::MAX));
     let (mut first, mut held, until) = (VecDeque::new(), 0, Instant::now() + UNKNOWN_LENGTH_HOLD);
     let Some(share) = (if size <= HELD { hold(size) } else { None }) else {
-        return Some(AnswerBody::Begun(first, body, None));
+        return Some(AnswerBody::Begun(Begun { first, body, _share: None }));
     };
     while held <= HELD {
         let next = poll_fn(|context| Pin::new(&mut body).poll_frame(context));
@@ -49,19 +56,42 @@
             first.push_back(data);
         }
     }
-    Some(AnswerBody::Begun(first, body, Some(share)))
+    Some(AnswerBody::Begun(Begun { first, body, _share: Some(share) }))
 }
 
-/// An answer that was cut, by its upstream or for its silence or length.
-#[derive(Debug, thiserror::Error)]
-#[error("the answer ended before its end")]
-pub struct Cut;
+/// Why an answer that is passed on ended before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Cut {
+    #[error("its upstream broke it off")]
+    Broken,
+    #[error("its upstream gave nothing for too long")]
+    Silent,
+    #[error("it is too long")]
+    TooLong,
+}
+
+/// How an answer that is passed on ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    Whole,
+    Cut(Cut),
+    ClientLeft,
+}
 
-/// A long answer on its way to its client.
+impl StreamEnd {
+    /// What that says of the attempt.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            StreamEnd::Whole => Outcome::Ok,
+            StreamEnd::Cut(_) => Outcome::Reset,
+            StreamEnd::ClientLeft => Outcome::Cancelled,
+        }
+    }
+}
+
+/// An answer on its way to its client.
 pub struct AnswerStream {
-    first: VecDeque<Bytes>,
-    body: Incoming,
-    _share: Option<Share>,
+    begun: Begun,
     silence: Limit,
     /// Bytes passed on.
     passed: u64,
@@ -69,29 +99,28 @@
     by: Instant,
     over: Instant,
     pub content_type: Option<HeaderValue>,
+    /// The request's id, as its client gave it.
+    call: Option<HeaderValue>,
     /// Told once how it ended.
-    ended: Option<Box<dyn FnOnce(Outcome) + Send>>,
+    ended: Option<Box<dyn FnOnce(StreamEnd) + Send>>,
     /// The request's, from when the answer is taken over by its client's connection.
     pub ticket: Option<Ticket>,
 }
 
 impl AnswerStream {
     pub fn new(
-        first: VecDeque<Bytes>, body: Incoming, share: Option<Share>, content_type: Option<HeaderValue>,
-        by: Instant, ended: impl FnOnce(Outcome) + Send + 'static,
+        begun: Begun, content_type: Option<HeaderValue>, call: Option<HeaderValue>, by: Instant,
+        ended: impl FnOnce(StreamEnd) + Send + 'static,
     ) -> AnswerStream {
-        let (silence, ended) = (Limit::default(), Some(Box::new(ended) as Box<_>));
-        let over = Instant::now() + Duration::from_secs_f64(LONGEST as f64 / RATE);
         AnswerStream {
-            first,
-            body,
-            _share: share,
-            silence,
+            begun,
+            silence: Limit::default(),
             passed: 0,
             by,
-            over,
+            over: Instant::now() + Duration::from_secs_f64(LONGEST as f64 / RATE),
             content_type,
-            ended,
+            call,
+            ended: Some(Box::new(ended)),
             ticket: None,
         }
     }
@@ -103,10 +132,21 @@
         (Instant::now() + STALL).min(if short { self.by } else { self.over })
     }
 
-    fn end(&mut self, outcome: Outcome) {
-        let ending = if outcome == Outcome::Ok { Ending::Success } else { Ending::Failure };
+    fn end(&mut self, end: StreamEnd) {
+        let Some(ended) = self.ended.take() else { return };
+        let (call, passed, late) = (&self.call, self.passed, self.by.elapsed());
+        match end {
+            StreamEnd::Cut(cut) => tracing::warn!(?call, %cut, passed, ?late, "an answer was cut"),
+            end => tracing::debug!(?call, ?end, passed, "an answer was passed on"),
+        }
+        let ending = if end == StreamEnd::Whole { Ending::Success } else { Ending::Failure };
         self.ticket.take().into_iter().for_each(|ticket| ticket.end(ending));
-        self.ended.take().into_iter().for_each(|ended| ended(outcome));
+        ended(end);
+    }
+
+    fn cut(&mut self, cut: Cut) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        self.end(StreamEnd::Cut(cut));
+        Poll::Ready(Some(Err(cut)))
     }
 }
 
@@ -119,15 +159,14 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let this = &mut *self;
         loop {
-            let frame = match this.first.pop_front() {
+            let frame = match this.begun.first.pop_front() {
                 Some(bytes) => Some(Ok(Frame::data(bytes))),
-                None => match Pin::new(&mut this.body).poll_frame(context) {
+                None => match Pin::new(&mut this.begun.body).poll_frame(context) {
                     Poll::Ready(frame) => frame,
                     Poll::Pending => {
                         let until = this.until();
                         ready!(this.silence.poll(|| until, context));
-                        this.end(Outcome::Reset);
-                        return Poll::Ready(Some(Err(Cut)));
+                        return this.cut(Cut::Silent);
                     }
                 },
             };
@@ -136,22 +175,18 @@
                 Some(Ok(frame)) if frame.is_data() => {
                     this.passed += frame.data_ref().map_or(0, |data| data.len() as u64);
                     if this.passed > LONGEST {
-                        this.end(Outcome::Reset);
-                        return Poll::Ready(Some(Err(Cut)));
+                        return this.cut(Cut::TooLong);
                     }
                     // With its length known, nobody asks for what comes after the last byte.
                     if this.is_end_stream() {
-                        this.end(Outcome::Ok);
+                        this.end(StreamEnd::Whole);
                     }
                     return Poll::Ready(Some(Ok(frame)));
                 }
                 Some(Ok(_)) => {}
-                Some(Err(_)) => {
-                    this.end(Outcome::Reset);
-                    return Poll::Ready(Some(Err(Cut)));
-                }
+                Some(Err(_)) => return this.cut(Cut::Broken),
                 None => {
-                    this.end(Outcome::Ok);
+                    this.end(StreamEnd::Whole);
                     return Poll::Ready(None);
                 }
             }
@@ -159,12 +194,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.first.is_empty() && self.body.is_end_stream()
+        self.begun.first.is_empty() && self.begun.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        let first: usize = self.first.iter().map(Bytes::len).sum();
-        let left = self.body.size_hint().exact().map(|left| left + first as u64);
+        let first: usize = self.begun.first.iter().map(Bytes::len).sum();
+        let left = self.begun.body.size_hint().exact().map(|left| left + first as u64);
         left.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
@@ -172,6 +207,6 @@
 impl Drop for AnswerStream {
     /// The client has left.
     fn drop(&mut self) {
-        self.end(Outcome::Cancelled);
+        self.end(StreamEnd::ClientLeft);
     }
 }
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -24,6 +24,9 @@
 /// after twice this; if it is silent then, the request is answered after once this.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
+/// What falls due is looked at so much later only where the process was held up.
+const HELD_UP: Duration = Duration::from_millis(50);
+
 /// The same note is logged again after so long.
 const LOG_AGAIN: Duration = Duration::from_secs(10);
 
@@ -169,7 +172,13 @@
     /// Guards against holding to be late, or hung, what has been told of and only not heard yet.
     fn fire(&mut self) {
         let now = Instant::now();
-        let is_due = self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now);
+        let first_due = self.timers.peek().map(|Reverse((at, _))| *at);
+        let is_due = first_due.is_some_and(|at| at <= now);
+        let late = first_due.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        if late >= HELD_UP {
+            tracing::info!(?late, requests = self.requests.len(), "the process was held up");
+            self.upstreams.metrics().count_held_up();
+        }
         let told = if is_due { self.from.len() } else { 0 };
         for _ in 0..told {
             if let Ok(happening) = self.from.try_recv() {
--- a/src/bin/juniperspoke/metrics.rs
+++ b/src/bin/juniperspoke/metrics.rs
@@ -1,5 +1,6 @@
 //! The figures: counts since the start of the process, and their text form.
 
+use crate::answer::Cut;
 use micapier::api::Hosts;
 use std::fmt::Write;
 use std::sync::Arc;
@@ -22,17 +23,23 @@
 #[derive(Default)]
 struct Calls([AtomicU64; ENDINGS.len()]);
 
+const CUTS: [(Cut, &str); 3] = [(Cut::Broken, "broken"), (Cut::Silent, "silent"), (Cut::TooLong, "too_long")];
+
 /// All that is counted. Each count is raised in one place, where the thing happens.
 pub struct Metrics {
     classes: Vec<(String, Calls)>,
     attempts: AtomicU64,
+    /// Answers that were passed on and not to their end, by [`Cut`].
+    cuts: [AtomicU64; CUTS.len()],
+    held_up: AtomicU64,
     inflight: AtomicU64,
 }
 
 impl Metrics {
     pub fn new(classes: &[String]) -> Arc<Metrics> {
         let classes = classes.iter().map(|name| (name.clone(), Calls::default())).collect();
-        Arc::new(Metrics { classes, attempts: AtomicU64::new(0), inflight: AtomicU64::new(0) })
+        let (attempts, cuts, held_up, inflight) = Default::default();
+        Arc::new(Metrics { classes, attempts, cuts, held_up, inflight })
     }
 
     /// A request of this class has been taken.
@@ -46,6 +53,16 @@
         self.attempts.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// An answer has been cut while it was passed on.
+    pub fn count_cut(&self, cut: Cut) {
+        self.cuts[cut as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The process has gone on much later than it had to.
+    pub fn count_held_up(&self) {
+        self.held_up.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// The figures as operators read them: `name:value|c` for a count, `|g` for what is now.
     pub fn text(&self, hosts: Hosts) -> String {
         let mut text = String::new();
@@ -59,6 +76,10 @@
             }
         }
         line("backend_calls", self.attempts.load(Ordering::Relaxed), 'c');
+        for ((_, name), count) in CUTS.iter().zip(&self.cuts) {
+            line(&format!("answers_cut.{name}"), count.load(Ordering::Relaxed), 'c');
+        }
+        line("held_up", self.held_up.load(Ordering::Relaxed), 'c');
         line("inflight", self.inflight.load(Ordering::Relaxed), 'g');
         line("hosts_listed", hosts.listed as u64, 'g');
         line("hosts_down", hosts.avoided as u64, 'g');
@@ -108,10 +129,15 @@
             }
         }
         metrics.count_attempt();
+        metrics.count_held_up();
+        CUTS.iter().for_each(|(cut, _)| metrics.count_cut(*cut));
+        metrics.count_cut(Cut::Silent);
         let expected = "edge_balancer.calls.pay.success:1|c\nedge_balancer.calls.pay.busy:1|c\n\
             edge_balancer.calls.pay.failure:0|c\nedge_balancer.calls.look.success:1|c\n\
             edge_balancer.calls.look.busy:0|c\nedge_balancer.calls.look.failure:1|c\n\
-            edge_balancer.backend_calls:1|c\nedge_balancer.inflight:0|g\n\
+            edge_balancer.backend_calls:1|c\nedge_balancer.answers_cut.broken:1|c\n\
+            edge_balancer.answers_cut.silent:2|c\nedge_balancer.answers_cut.too_long:1|c\n\
+            edge_balancer.held_up:1|c\nedge_balancer.inflight:0|g\n\
             edge_balancer.hosts_listed:7|g\nedge_balancer.hosts_down:2|g\n";
         assert_eq!(metrics.text(hosts), expected);
     }
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -280,7 +280,12 @@
                 // First reads what has come: what is closed on is not known to be on its way.
                 biased;
                 // Whatever ends it, whoever waited on it has left.
-                _ = connection.as_mut() => break,
+                end = connection.as_mut() => {
+                    if let Err(error) = end {
+                        tracing::debug!(%error, "a client's connection broke");
+                    }
+                    break;
+                }
                 () = open.socket.ended(), if !ended => {
                     ended = true;
                     open.end.note();
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -3,7 +3,7 @@
 //! The pool is our own, since those of client libraries send a request again by themselves when a kept
 //! connection breaks under it, and so may run it twice.
 
-use crate::answer::{AnswerBody, AnswerStream, read_answer};
+use crate::answer::{AnswerBody, AnswerStream, StreamEnd, read_answer};
 use crate::bodies::{HELD, Outgoing, RequestBody, Sent};
 use crate::budget::Budget;
 use crate::idle::IdleLimit;
@@ -222,6 +222,10 @@
         Upstreams { idle, learned, vain, open, most, keep, connect_timeout, metrics, budget }
     }
 
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -411,16 +415,21 @@
         };
         self.learned().note(pooled.idle_for, outcome == Outcome::Reset, Instant::now());
         match had {
-            Some(AnswerBody::Begun(first, body, share)) if outcome == Outcome::Ok => {
+            Some(AnswerBody::Begun(begun)) if outcome == Outcome::Ok => {
                 let end = report.clone();
-                let passing = AnswerStream::new(first, body, share, content_type, by, move |outcome| {
-                    end(Step::Ended(outcome, Served::default()));
-                    // As below: it may have answered before it had all of the request.
-                    if outcome == Outcome::Ok && state == Sent::Whole {
-                        tokio::spawn(self.keep_ready(target, pooled));
+                let call = outbound.headers.get("x-call-id").cloned();
+                let stream = AnswerStream::new(begun, content_type, call, by, move |stream_end| {
+                    end(Step::Ended(stream_end.outcome(), Served::default()));
+                    match stream_end {
+                        StreamEnd::Cut(cut) => self.metrics.count_cut(cut),
+                        // As below: it may have answered before it had all of the request.
+                        StreamEnd::Whole if state == Sent::Whole => {
+                            tokio::spawn(self.keep_ready(target, pooled));
+                        }
+                        StreamEnd::Whole | StreamEnd::ClientLeft => {}
                     }
                 });
-                report(Step::Started(Box::new(passing)));
+                report(Step::Started(Box::new(stream)));
             }
             Some(AnswerBody::Whole(body)) => {
                 report(Step::Ended(outcome, Served { body, content_type }));
