An answer that is cut takes nothing along that was written before it

Cause: an answer that is passed on reported its cut, by its upstream or by the end of its client's time, as an error of the body. The HTTP library then drops the connection with whatever it has not written yet: the head and first bytes of an answer that has just begun, and the end of an earlier one that the client has yet to take. A process that is held up for 20 ms or more after a head without a length begins to pass on, and finds the cut, in one go. Change: the body of an answer never fails. The connection is told of the cut, waits until all has been written, then ends its sending and lingers, as for any other close.

--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -4,10 +4,12 @@
 use crate::framing::Framing;
 use crate::system::retry_interrupted;
 use socket2::SockRef;
+use std::future::poll_fn;
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -90,13 +92,56 @@
     }
 }
 
+/// Closes a client's connection in such a way that it has what was written: ends the sending, and drops what still
+/// comes until the client closes as well or has had its time.
+#[derive(Default)]
+struct Linger {
+    shut: bool,
+    limit: Limit,
+}
+
+impl Linger {
+    fn poll(&mut self, stream: &TcpStream, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if !std::mem::replace(&mut self.shut, true) {
+            SockRef::from(stream).shutdown(Shutdown::Write)?;
+        }
+        loop {
+            // First: who sends without end is not heard without end.
+            if self.limit.poll(|| Instant::now() + LINGER, context).is_ready() {
+                return Poll::Ready(Ok(()));
+            }
+            let mut bytes = [0; 4096];
+            let mut dropped = ReadBuf::new(&mut bytes);
+            match ready!(Peer::poll_bytes(stream, context, &mut dropped, usize::MAX)) {
+                Ok(()) if !dropped.filled().is_empty() => {}
+                _ => return Poll::Ready(Ok(())),
+            }
+        }
+    }
+}
+
 /// A client's socket, beside the connection that reads and writes it.
-pub struct Socket(Arc<TcpStream>);
+pub struct Socket {
+    stream: Arc<TcpStream>,
+    write_blocked: Arc<AtomicBool>,
+}
 
 impl Socket {
     /// The socket is asked: its events may not tell of what has come yet.
     fn peek(&self) -> io::Result<usize> {
-        retry_interrupted(|| SockRef::from(&*self.0).peek(&mut [MaybeUninit::uninit()]))
+        retry_interrupted(|| SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]))
+    }
+
+    /// Has no room for what its connection has to write?
+    pub fn is_write_blocked(&self) -> bool {
+        self.write_blocked.load(Ordering::Relaxed)
+    }
+
+    /// Closes it gently, whoever still has it.
+    pub async fn close(&self) {
+        let mut linger = Linger::default();
+        // A socket that can't be shut has been closed by its client.
+        drop(poll_fn(|context| linger.poll(&self.stream, context)).await);
     }
 
     /// Has the client ended its sending, with nothing of it left to be read?
@@ -112,7 +157,7 @@
     /// Waits until the client has ended its sending, whatever of it is still unread.
     pub async fn ended(&self) {
         // Of what is waited for, only the end is reported.
-        if let Ok(ready) = self.0.ready(Interest::PRIORITY).await
+        if let Ok(ready) = self.stream.ready(Interest::PRIORITY).await
             && !ready.is_read_closed()
         {
             std::future::pending().await
@@ -132,9 +177,10 @@
 pub struct Peer {
     stream: Arc<TcpStream>,
     writing: Limit,
+    write_blocked: Arc<AtomicBool>,
     reading: Option<Patience>,
     /// Begun once nothing more is written.
-    lingering: Option<Limit>,
+    linger: Linger,
 }
 
 impl Peer {
@@ -146,11 +192,14 @@
         let (stream, heads) = (Arc::new(stream), Heads::new(Instant::now()));
         let first_by = Some(Instant::now() + HEAD_PATIENCE);
         let reading = Patience { heads: heads.clone(), limit: Limit::default(), first_by };
-        (Peer::new(stream.clone(), Some(reading)), heads, Socket(stream))
+        let peer = Peer::new(stream.clone(), Some(reading));
+        let socket = Socket { stream, write_blocked: peer.write_blocked.clone() };
+        (peer, heads, socket)
     }
 
     fn new(stream: Arc<TcpStream>, reading: Option<Patience>) -> Peer {
-        Peer { stream, writing: Limit::default(), reading, lingering: None }
+        let (writing, write_blocked, linger) = Default::default();
+        Peer { stream, writing, write_blocked, reading, linger }
     }
 
     /// Reads what there is, up to so much; nothing at the end.
@@ -194,6 +243,7 @@
     fn written(
         &mut self, done: Poll<io::Result<usize>>, context: &mut Context<'_>,
     ) -> Poll<io::Result<usize>> {
+        self.write_blocked.store(done.is_pending(), Ordering::Relaxed);
         if done.is_ready() {
             self.writing.over();
             return done;
@@ -248,29 +298,13 @@
         Poll::Ready(Ok(()))
     }
 
-    /// Ends the sending. Guards against a reset that takes from a client what it has not read yet: what it still
-    /// sends is read, and goes nowhere, until it closes as well or has had its time.
+    /// Guards against a reset that takes from a client what it has not read yet.
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Peer { stream, reading, lingering, .. } = self.get_mut();
-        if lingering.is_none() {
-            SockRef::from(&**stream).shutdown(Shutdown::Write)?;
-        }
-        let limit = lingering.get_or_insert_default();
+        let Peer { stream, reading, linger, .. } = self.get_mut();
         if reading.is_none() {
-            return Poll::Ready(Ok(()));
-        }
-        loop {
-            // First: who sends without end is not heard without end.
-            if limit.poll(|| Instant::now() + LINGER, context).is_ready() {
-                return Poll::Ready(Ok(()));
-            }
-            let mut bytes = [0; 4096];
-            let mut dropped = ReadBuf::new(&mut bytes);
-            match ready!(Peer::poll_bytes(stream, context, &mut dropped, usize::MAX)) {
-                Ok(()) if !dropped.filled().is_empty() => {}
-                _ => return Poll::Ready(Ok(())),
-            }
+            return Poll::Ready(SockRef::from(&**stream).shutdown(Shutdown::Write));
         }
+        linger.poll(stream, context)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -287,7 +321,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use std::future::poll_fn;
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpListener;
     use tokio::time::timeout;
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -3,7 +3,7 @@
 //! Anyone may connect. What is no proper request of the application's goes no further: an upstream would
 //! answer it with an error, and the module would book that as the upstream's own.
 
-use crate::answer::{AnswerStream, Cut};
+use crate::answer::AnswerStream;
 use crate::bodies::{BodyError, Intake, RequestBody};
 use crate::budget::Budget;
 use crate::config::Config;
@@ -27,12 +27,13 @@
 use micapier::settings::LONGEST;
 use std::collections::HashSet;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::hash::{BuildHasher, RandomState};
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
@@ -124,9 +125,19 @@
     heads: Heads,
     socket: Socket,
     end: End,
+    /// Told once an answer on it can't be finished: it has to close.
+    cut: Notify,
 }
 
 impl Connection {
+    /// Waits until an answer on it is cut, and then until all that was written before has gone out: whoever polls this
+    /// also polls what writes.
+    async fn cut(&self) {
+        self.cut.notified().await;
+        let writes = || self.socket.is_write_blocked();
+        poll_fn(|_| if writes() { Poll::Pending } else { Poll::Ready(()) }).await;
+    }
+
     /// Whether the client is there, for a request whose last byte has just been read.
     fn end_of_request(&self) -> RequestEnd {
         if self.socket.has_ended() {
@@ -257,7 +268,7 @@
         drop(stream.set_nodelay(true));
         let (used, begun, since) = (AtomicBool::new(false), Notify::new(), Instant::now());
         let (peer, heads, socket) = Peer::client(stream);
-        let open = Arc::new(Connection { heads, socket, end: End::default() });
+        let open = Arc::new(Connection { heads, socket, end: End::default(), cut: Notify::new() });
         let service = service_fn(|request| {
             let newcomer = (!used.swap(true, Ordering::Relaxed)).then_some(since);
             if newcomer.is_some() {
@@ -274,6 +285,8 @@
         http.max_buf_size(BUFFER).header_read_timeout(None).half_close(true);
         let connection = http.serve_connection(TokioIo::new(peer), service);
         tokio::pin!(connection);
+        let cut = open.cut();
+        tokio::pin!(cut);
         loop {
             let due = life.borrow_and_update().close_idle.filter(|due| closed != Some(*due));
             tokio::select! {
@@ -286,6 +299,10 @@
                     }
                     break;
                 }
+                () = &mut cut => {
+                    open.socket.close().await;
+                    break;
+                }
                 () = open.socket.ended(), if !ended => {
                     ended = true;
                     open.end.note();
@@ -324,7 +341,7 @@
 
     /// `newcomer` is when its connection came, if it is the first there.
     async fn answer(
-        &self, request: Request<Incoming>, on: &Connection, twofold: bool, newcomer: Option<Instant>,
+        &self, request: Request<Incoming>, on: &Arc<Connection>, twofold: bool, newcomer: Option<Instant>,
     ) -> Response<Reply> {
         let mut response = match request.uri().path() {
             "/health/ready" => {
@@ -350,7 +367,7 @@
     }
 
     /// A request that has been taken: it is in flight until its answer has ended.
-    async fn ask(&self, inbound: Inbound, on: &Connection) -> Response<Reply> {
+    async fn ask(&self, inbound: Inbound, on: &Arc<Connection>) -> Response<Reply> {
         let ticket = self.metrics.take(inbound.class);
         let upload = match &inbound.outbound.body {
             RequestBody::Held(_) => None,
@@ -372,7 +389,7 @@
                 Answer::Failed
             }
         };
-        let Some(upload) = upload else { return worded(answer, ticket) };
+        let Some(upload) = upload else { return worded(answer, ticket, on) };
         match upload.fault() {
             Some(error) => {
                 let (status, why) = improper(error);
@@ -380,7 +397,7 @@
             }
             None => {
                 tokio::spawn(upload.drain());
-                worded(answer, ticket)
+                worded(answer, ticket, on)
             }
         }
     }
@@ -475,37 +492,53 @@
     Ok(())
 }
 
-/// The body of an answer to a client.
+/// The body of an answer to a client. It never fails: the HTTP library would drop what it has not written by then, and
+/// so all of an answer that has just begun.
 enum Reply {
     Whole(Bytes),
-    Streamed(Box<AnswerStream>),
+    Streamed(Box<AnswerStream>, Arc<Connection>),
+    /// Its connection is about to close.
+    Cut,
 }
 
 impl Body for Reply {
     type Data = Bytes;
-    type Error = Cut;
+    type Error = Infallible;
 
     fn poll_frame(
         mut self: Pin<&mut Self>, context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        match &mut *self {
-            Reply::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Reply::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Reply::Streamed(passing) => Pin::new(passing).poll_frame(context),
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let frame = match &mut *self {
+            Reply::Whole(bytes) if bytes.is_empty() => return Poll::Ready(None),
+            Reply::Whole(bytes) => return Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Reply::Streamed(stream, _) => ready!(Pin::new(stream).poll_frame(context)),
+            Reply::Cut => return Poll::Pending,
+        };
+        match frame {
+            Some(Ok(frame)) => Poll::Ready(Some(Ok(frame))),
+            None => Poll::Ready(None),
+            Some(Err(_)) => {
+                if let Reply::Streamed(_, on) = std::mem::replace(&mut *self, Reply::Cut) {
+                    on.cut.notify_one();
+                }
+                Poll::Pending
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Reply::Whole(bytes) => bytes.is_empty(),
-            Reply::Streamed(passing) => passing.is_end_stream(),
+            Reply::Streamed(stream, _) => stream.is_end_stream(),
+            Reply::Cut => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Reply::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Reply::Streamed(passing) => passing.size_hint(),
+            Reply::Streamed(stream, _) => stream.size_hint(),
+            Reply::Cut => SizeHint::default(),
         }
     }
 }
@@ -517,7 +550,7 @@
 }
 
 /// The final answer in HTTP; the request ends with it.
-fn worded(answer: Answer, ticket: Ticket) -> Response<Reply> {
+fn worded(answer: Answer, ticket: Ticket, on: &Arc<Connection>) -> Response<Reply> {
     match answer {
         Answer::Served(served) => {
             ticket.end(Ending::Success);
@@ -525,10 +558,10 @@
             response.headers_mut().extend(served.content_type.map(|value| (CONTENT_TYPE, value)));
             response
         }
-        Answer::Streamed(mut passing) => {
-            passing.ticket = Some(ticket);
-            let content_type = passing.content_type.take();
-            let mut response = Response::new(Reply::Streamed(passing));
+        Answer::Streamed(mut stream) => {
+            stream.ticket = Some(ticket);
+            let content_type = stream.content_type.take();
+            let mut response = Response::new(Reply::Streamed(stream, on.clone()));
             response.headers_mut().extend(content_type.map(|value| (CONTENT_TYPE, value)));
             response
         }
@@ -547,7 +580,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use std::future::poll_fn;
     use tokio::time::advance;
 
     #[tokio::test(start_paused = true)]
