What has come of an answer while the process was held up is passed on, not cut

Cause: as the process goes on after a hold-up, the client's time is over and the next piece has yet to be read by the upstream's connection, which takes a turn of the runtime for each piece. The stream looked at the clock in between. Change: once a time is over, a stream, and an answer that is held, gives the runtime the turns that it takes to read what has come, and only then goes by the clock. The pool's reuse of a connection did the same by hand; one function serves all three.

--- a/src/bin/juniperspoke/answer.rs
+++ b/src/bin/juniperspoke/answer.rs
@@ -4,6 +4,7 @@
 use crate::budget::Share;
 use crate::metrics::{Ending, Ticket};
 use crate::peer::{Limit, STALL};
+use crate::system::read_what_has_come;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::HeaderValue;
@@ -33,6 +34,19 @@
     _share: Option<Share>,
 }
 
+/// Waits until then. What has come by then counts, though a process that was held up reads it only after.
+async fn wait_until<F: Future + Unpin>(until: Instant, mut future: F) -> Option<F::Output> {
+    if let Ok(output) = timeout_at(until, &mut future).await {
+        return Some(output);
+    }
+    read_what_has_come().await;
+    poll_fn(|context| match Pin::new(&mut future).poll(context) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending => Poll::Ready(None),
+    })
+    .await
+}
+
 /// Reads an answer that is small to its end; `None` if it breaks. `hold` gives room for it.
 pub async fn read_answer(mut body: Incoming, hold: impl Fn(usize) -> Option<Share>) -> Option<AnswerBody> {
     let left = body.size_hint().exact();
@@ -45,9 +59,9 @@
         let next = poll_fn(|context| Pin::new(&mut body).poll_frame(context));
         let frame = match left {
             Some(_) => next.await,
-            None => match timeout_at(until, next).await {
-                Ok(frame) => frame,
-                Err(_) => break,
+            None => match wait_until(until, next).await {
+                Some(frame) => frame,
+                None => break,
             },
         };
         let Some(frame) = frame else { return Some(AnswerBody::Whole(share.hold(joined(first)))) };
@@ -93,6 +107,8 @@
 pub struct AnswerStream {
     begun: Begun,
     silence: Limit,
+    /// Once its upstream has been silent for too long: guards against cutting what came while the process was held up.
+    last_read: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
     /// Bytes passed on.
     passed: u64,
     /// When its client's time ends, and when the longest has to be over.
@@ -115,6 +131,7 @@
         AnswerStream {
             begun,
             silence: Limit::default(),
+            last_read: None,
             passed: 0,
             by,
             over: Instant::now() + Duration::from_secs_f64(LONGEST as f64 / RATE),
@@ -166,11 +183,14 @@
                     Poll::Pending => {
                         let until = this.until();
                         ready!(this.silence.poll(|| until, context));
+                        let last_read = this.last_read.get_or_insert_with(|| Box::pin(read_what_has_come()));
+                        ready!(last_read.as_mut().poll(context));
                         return this.cut(Cut::Silent);
                     }
                 },
             };
             this.silence.over();
+            this.last_read = None;
             match frame {
                 Some(Ok(frame)) if frame.is_data() => {
                     this.passed += frame.data_ref().map_or(0, |data| data.len() as u64);
--- a/src/bin/juniperspoke/system.rs
+++ b/src/bin/juniperspoke/system.rs
@@ -1,6 +1,14 @@
-//! What errors of system calls say: of a signal, of this machine, or of the other side.
+//! What the system and the runtime have to say: errors of system calls, and what has come and is not read yet.
 
 use std::io;
+use tokio::task::yield_now;
+
+/// Gives the runtime the turns that it takes to read what has come: in one it looks at the sockets, in the next it runs
+/// what has something to read.
+pub async fn read_what_has_come() {
+    yield_now().await;
+    yield_now().await;
+}
 
 /// Makes a system call again as often as a signal interrupts it.
 pub fn retry_interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -10,7 +10,7 @@
 use crate::leaving::RequestEnd;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
-use crate::system::is_local;
+use crate::system::{is_local, read_what_has_come};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
@@ -292,10 +292,8 @@
         while let Some(Idle { pooled, since }) = self.kept(addr) {
             // To wait costs less than another connection.
             sleep_until(since + REST).await;
-            // What has arrived unseen, a close or bytes, ends the connection before this goes on: in one turn the
-            // runtime looks at the sockets, in the next it runs what has something to read.
-            yield_now().await;
-            yield_now().await;
+            // What has arrived unseen, a close or bytes, ends the connection before this goes on.
+            read_what_has_come().await;
             if pooled.connection.sender.is_ready() {
                 return Ok(Pooled { idle_for: since.elapsed(), ..pooled });
             }
