An answer is begun only once there is a piece of it to pass on

Callers saw: a head of 200 and then the end of their connection, 5 s after it where the head told a long body, where an upstream hung behind the head. A request that nothing was known of but a head could still have been answered as failed. Cause: what is longer than is held, what has no room, and after 20 ms what has no length was passed on from its head. Evidence: an_answer_of_which_only_the_head_comes failed: no whole answer after 5.1 s; 502 in its time now. Change: an answer is held until its first piece, within the attempt's time; the 20 ms run from that piece.

--- a/src/bin/juniperspoke/answer.rs
+++ b/src/bin/juniperspoke/answer.rs
@@ -11,7 +11,7 @@
 use micapier::api::Outcome;
 use std::collections::VecDeque;
 use std::future::poll_fn;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -47,30 +47,53 @@
     .await
 }
 
-/// Reads an answer that is small to its end; `None` if it breaks. `hold` gives room for it.
+/// The next piece; `None` at the end.
+async fn next_piece(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
+    loop {
+        let Some(frame) = poll_fn(|context| Pin::new(&mut *body).poll_frame(context)).await else {
+            return Ok(None);
+        };
+        // Trailers say nothing that goes on to a client.
+        if let Ok(data) = frame?.into_data() {
+            return Ok(Some(data));
+        }
+    }
+}
+
+/// Reads an answer that is small to its end; `None` if it breaks. `hold` gives room for it. What is begun has a piece to
+/// pass on: until then its request can still be answered otherwise.
 pub async fn read_answer(mut body: Incoming, hold: impl Fn(usize) -> Option<Share>) -> Option<AnswerBody> {
-    let left = body.size_hint().exact();
-    let size = left.map_or(HELD, |left| usize::try_from(left).unwrap_or(usize::MAX));
-    let (mut first, mut held, until) = (VecDeque::new(), 0, Instant::now() + UNKNOWN_LENGTH_HOLD);
-    let Some(share) = (if size <= HELD { hold(size) } else { None }) else {
-        return Some(AnswerBody::Begun(Begun { first, body, _share: None }));
+    let length = body.size_hint().exact();
+    let size = length.map_or(HELD, |length| usize::try_from(length).unwrap_or(usize::MAX));
+    let share = if size <= HELD { hold(size) } else { None };
+    let mut first = VecDeque::from_iter(next_piece(&mut body).await.ok()?);
+    let until = Instant::now() + UNKNOWN_LENGTH_HOLD;
+    let Some(share) = share else {
+        let begun = Begun { first, body, _share: None };
+        return Some(if begun.first.is_empty() {
+            AnswerBody::Whole(Bytes::new())
+        } else {
+            AnswerBody::Begun(begun)
+        });
     };
-    while held <= HELD {
-        let next = poll_fn(|context| Pin::new(&mut body).poll_frame(context));
-        let frame = match left {
-            Some(_) => next.await,
-            None => match wait_until(until, next).await {
-                Some(frame) => frame,
-                None => break,
-            },
+    let mut held = first.front().map_or(0, Bytes::len);
+    while held <= HELD && !first.is_empty() {
+        let next = next_piece(&mut body);
+        let piece = match length {
+            Some(_) => Some(next.await),
+            None => wait_until(until, pin!(next)).await,
         };
-        let Some(frame) = frame else { return Some(AnswerBody::Whole(share.hold(joined(first)))) };
-        if let Ok(data) = frame.ok()?.into_data() {
-            held += data.len();
-            first.push_back(data);
-        }
+        let Some(piece) = piece else {
+            return Some(AnswerBody::Begun(Begun { first, body, _share: Some(share) }));
+        };
+        let Some(piece) = piece.ok()? else { break };
+        held += piece.len();
+        first.push_back(piece);
+    }
+    if held > HELD {
+        return Some(AnswerBody::Begun(Begun { first, body, _share: Some(share) }));
     }
-    Some(AnswerBody::Begun(Begun { first, body, _share: Some(share) }))
+    Some(AnswerBody::Whole(share.hold(joined(first))))
 }
 
 /// Why an answer that is passed on ended before its end.
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -142,6 +142,20 @@
     );
 }
 
+/// Incident 318501: an answer was begun for which there was nothing yet to pass on, and then could only be cut.
+#[test]
+fn an_answer_of_which_only_the_head_comes_is_answered_as_failed_in_its_clients_time() {
+    for head in ["Content-Length: 100000\r\n\r\n", "\r\n", "Transfer-Encoding: chunked\r\n\r\n"] {
+        let (upstream, listener) = Upstream::unattended();
+        let sidecar = Sidecar::start(&[&upstream]);
+        let mut client = send(&sidecar, &call("pay", 0.5).text());
+        let (mut stream, _) = listener.accept().expect("a connection");
+        assert!(stream.read(&mut [0; 4_096]).expect("a request") > 0);
+        stream.write_all(format!("HTTP/1.1 200 OK\r\n{head}").as_bytes()).expect("written");
+        assert_eq!(Answer::read(&mut client).status, 502, "{head}");
+    }
+}
+
 #[test]
 fn a_body_that_is_not_proper_is_never_passed_on_as_whole_nor_counted_as_served() {
     let (upstream, sidecar) = served(with_door);
