A cut answer ends with a reset where its client knows of no other end

A client of HTTP/1.0 took the beginning of an answer without a length for all of it: the sidecar cut it with an ordinary close. The test failed with an end in place of an error before.

--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -137,6 +137,12 @@
         self.write_blocked.load(Ordering::Relaxed)
     }
 
+    /// Makes its close a reset.
+    pub fn reset(&self) {
+        // Without it the client has an end that it may take for that of its answer: there is no other way to tell.
+        drop(SockRef::from(&*self.stream).set_linger(Some(Duration::ZERO)));
+    }
+
     /// Closes it gently, whoever still has it.
     pub async fn close(&self) {
         let mut linger = Linger::default();
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -20,7 +20,7 @@
 use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
 use micapier::api::{Idempotency, Origin};
 use micapier::names::flat_name;
@@ -127,9 +127,25 @@
     end: End,
     /// Told once an answer on it can't be finished: it has to close.
     cut: Notify,
+    /// The end of the connection is the end of the answer on it.
+    ends_by_close: AtomicBool,
 }
 
 impl Connection {
+    fn new(heads: Heads, socket: Socket) -> Connection {
+        let (end, cut, ends_by_close) = Default::default();
+        Connection { heads, socket, end, cut, ends_by_close }
+    }
+
+    /// Closes it after a cut, in such a way that its client can tell.
+    async fn close(&self) {
+        if self.ends_by_close.load(Ordering::Relaxed) {
+            self.socket.reset();
+        } else {
+            self.socket.close().await;
+        }
+    }
+
     /// Waits until an answer on it is cut, and then until all that was written before has gone out: whoever polls this
     /// also polls what writes.
     async fn cut(&self) {
@@ -268,7 +284,7 @@
         drop(stream.set_nodelay(true));
         let (used, begun, since) = (AtomicBool::new(false), Notify::new(), Instant::now());
         let (peer, heads, socket) = Peer::client(stream);
-        let open = Arc::new(Connection { heads, socket, end: End::default(), cut: Notify::new() });
+        let open = Arc::new(Connection::new(heads, socket));
         let service = service_fn(|request| {
             let newcomer = (!used.swap(true, Ordering::Relaxed)).then_some(since);
             if newcomer.is_some() {
@@ -300,7 +316,7 @@
                     break;
                 }
                 () = &mut cut => {
-                    open.socket.close().await;
+                    open.close().await;
                     break;
                 }
                 () = open.socket.ended(), if !ended => {
@@ -343,6 +359,7 @@
     async fn answer(
         &self, request: Request<Incoming>, on: &Arc<Connection>, twofold: bool, newcomer: Option<Instant>,
     ) -> Response<Reply> {
+        let version = request.version();
         let mut response = match request.uri().path() {
             "/health/ready" => {
                 let ready = self.driver.is_ready() && self.life.stage() == Stage::Serving;
@@ -356,6 +373,8 @@
                 }
             },
         };
+        let ends_by_close = version == Version::HTTP_10 && response.body().size_hint().exact().is_none();
+        on.ends_by_close.store(ends_by_close, Ordering::Relaxed);
         if self.life.stage() != Stage::Serving {
             on.heads.close();
         }
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -358,6 +358,22 @@
     }
 }
 
+/// Guards against an answer that a client takes for whole, since its end is all that a close says in HTTP/1.0.
+#[test]
+fn an_answer_that_breaks_on_its_way_to_a_client_of_http_1_0_ends_with_a_reset() {
+    let (upstream, listener) = Upstream::unattended();
+    let sidecar = Sidecar::start(&[&upstream]);
+    let mut client = send(&sidecar, &call("pay", 10.0).text().replace("HTTP/1.1", "HTTP/1.0"));
+    let (mut stream, _) = listener.accept().expect("a connection");
+    assert!(until(&mut stream, "\r\n\r\n"), "a request");
+    stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nbegun").expect("written");
+    assert!(until(&mut client, "begun"), "what there is of it");
+    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
+    drop(stream);
+    let end = client.read(&mut [0]).expect_err("no end");
+    assert_eq!(end.kind(), ErrorKind::ConnectionReset);
+}
+
 #[test]
 fn who_stops_giving_or_taking_is_cut() {
     let long = text(30_000_000);
