A client that has come unseen as the listening ends is accepted, not reset

A process that is held up as it stops listening had not heard yet of connections that the system had accepted for it; they went with the listener, and requests written to them were lost. The test, in which the runtime does not look at the sockets between the connect and the stop, failed: 0 connections. The listener now goes once the runtime has looked and there is none.

--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -12,7 +12,7 @@
 use crate::life::{Life, Stage};
 use crate::metrics::{Ending, Metrics, Ticket};
 use crate::peer::{Heads, Peer, Socket};
-use crate::system::is_shortage;
+use crate::system::{is_shortage, read_what_has_come};
 use crate::upstream::{BUFFER, Outbound};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -217,6 +217,7 @@
             sleep(STOP_GRACE).await;
         };
         tokio::select! {
+            biased;
             () = self.take(&listener) => {}
             () = over => {}
         }
@@ -229,19 +230,12 @@
             let accepted = tokio::select! {
                 biased;
                 accepted = listener.accept() => accepted,
-                () = self.stopped() => return,
+                () = self.stopped_with_none_to_accept() => return,
             };
             match accepted {
                 Ok((stream, _)) => {
                     failing = false;
-                    self.accepted.send_replace(Instant::now());
-                    let server = self.clone();
-                    self.open.fetch_add(1, Ordering::Relaxed);
-                    tokio::spawn(async move {
-                        server.clone().serve(stream).await;
-                        server.open.fetch_sub(1, Ordering::Relaxed);
-                        drop(permit);
-                    });
+                    self.begin(stream, permit);
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
@@ -257,6 +251,24 @@
         }
     }
 
+    /// Waits until no more connections are to be accepted, and the runtime has heard of those that have come.
+    async fn stopped_with_none_to_accept(&self) {
+        self.stopped().await;
+        read_what_has_come().await;
+    }
+
+    /// Serves a connection until it ends.
+    fn begin(self: &Arc<Self>, stream: TcpStream, permit: Option<OwnedSemaphorePermit>) {
+        self.accepted.send_replace(Instant::now());
+        self.open.fetch_add(1, Ordering::Relaxed);
+        let server = self.clone();
+        tokio::spawn(async move {
+            server.clone().serve(stream).await;
+            server.open.fetch_sub(1, Ordering::Relaxed);
+            drop(permit);
+        });
+    }
+
     /// Guards against running out of descriptors: for each newcomer one connection gives way, and newcomers wait
     /// where none has yet. Were all asked, each of their clients would come back as a newcomer.
     async fn permit(&self) -> Option<OwnedSemaphorePermit> {
@@ -633,6 +645,23 @@
         }
     }
 
+    /// Guards against a reset of clients that have come as the listening ends: the runtime may not have heard of them yet.
+    #[tokio::test(start_paused = true)]
+    async fn who_has_come_unseen_as_the_listening_ends_is_accepted() {
+        let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
+        let (life, metrics) = (Arc::new(Life::new()), Metrics::new(&[]));
+        let server = Server::new(config, Handle::new().0, life, metrics, Budget::new(0), 4);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let mut listening = Box::pin(server.clone().listen(listener));
+        assert!(poll_fn(|context| Poll::Ready(listening.as_mut().poll(context))).await.is_pending());
+        // The runtime does not look at the sockets in between.
+        let _client = std::net::TcpStream::connect(addr).expect("a place in the queue");
+        server.stop();
+        listening.await;
+        assert_eq!(server.connections(), 1);
+    }
+
     #[test]
     fn a_used_id_is_known_for_long_and_the_memory_stays_bounded() {
         let mut seen = Seen::default();
