Tests: a port of an instance stays reserved from its choice to the end of the test

free_port gave a port that another process could take before listd did; site_loss failed once with "Address already in use". The kernel's choice is now kept bound, without listening, by a socket that lets listd listen there too; who connects while listd is down is still refused.

--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -4,6 +4,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::Value;
+use socket2::{Domain, Socket, Type};
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -25,17 +26,36 @@
 pub struct Listd {
     child: Child,
     pub addr: SocketAddr,
+    /// Where it has one of its own.
+    port: Option<Port>,
 }
 
-/// A port that was free a moment ago.
-pub fn free_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+/// A port of the kernel's choice, kept for as long as this is: nobody else is given it, and who connects is refused until
+/// a process that is told of it listens there.
+#[derive(Debug)]
+pub struct Port {
+    pub addr: SocketAddr,
+    _bound: Socket,
+}
+
+impl Port {
+    pub fn reserve() -> Port {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        // With it on both sockets another may listen there, as long as this one doesn't.
+        socket.set_reuse_address(true).expect("set");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        let addr = socket.local_addr().ok().and_then(|addr| addr.as_socket()).expect("an address");
+        Port { addr, _bound: socket }
+    }
 }
 
 impl Listd {
     /// Starts an instance on a free port; `extra` are more arguments.
     pub fn start(data: &Path, config: &Path, extra: &[&str]) -> Listd {
-        Listd::start_at(free_port(), data, config, extra)
+        let port = Port::reserve();
+        let mut listd = Listd::start_at(port.addr, data, config, extra);
+        listd.port = Some(port);
+        listd
     }
 
     /// Starts an instance at `addr`; returns once it listens.
@@ -51,7 +71,7 @@
             .stderr(log.map_or_else(|_| Stdio::null(), Stdio::from))
             .spawn()
             .expect("listd starts");
-        let listd = Listd { child, addr };
+        let listd = Listd { child, addr, port: None };
         listd.until("no answer", |listd| listd.try_call("GET", "/registry/instances", "").is_some());
         listd
     }
@@ -354,6 +374,7 @@
     pub proxies: Vec<Vec<Option<Proxy>>>,
     pub nodes: Vec<Option<Listd>>,
     pub dir: Dir,
+    _ports: Vec<Port>,
 }
 
 impl Cluster {
@@ -365,7 +386,8 @@
     /// The same with more tables in each instance's configuration.
     pub fn with(name: &str, tables: &str) -> Cluster {
         let dir = Dir::new(name);
-        let addrs: Vec<_> = (0..3).map(|_| free_port()).collect();
+        let ports: Vec<_> = (0..3).map(|_| Port::reserve()).collect();
+        let addrs: Vec<_> = ports.iter().map(|port| port.addr).collect();
         let proxies: Vec<Vec<_>> = (0..3)
             .map(|from| (0..3).map(|to| (from != to).then(|| Proxy::new(addrs[to]))).collect())
             .collect();
@@ -380,7 +402,7 @@
             std::fs::write(dir.join(format!("{from}.toml")), format!("[peers]\n{peers}{tables}"))
                 .expect("a configuration");
         }
-        let mut cluster = Cluster { addrs, proxies, nodes: vec![None, None, None], dir };
+        let mut cluster = Cluster { addrs, proxies, nodes: vec![None, None, None], dir, _ports: ports };
         cluster.start_all();
         cluster
     }
