--- a/tests/shutdown_soak.rs
+++ b/tests/shutdown_soak.rs
@@ -16,6 +16,9 @@
 /// SIGKILL follows SIGTERM after the longest deadline and this.
 const KILL_GRACE: Duration = Duration::from_millis(700);
 
+/// A process that is held up as it ends goes on in between.
+const HOLD_UP_SPACING: Duration = Duration::from_millis(400);
+
 /// Plays one seed, and tells what broke a rule.
 fn play(seed: u64) -> Vec<String> {
     let mut lot = Rng::with_seed(seed ^ 0x5eed);
@@ -34,6 +37,11 @@
         // A process that has ended waits for its parent, and takes them still.
         stage.sidecar.signal(lot.choice([Signal::SIGHUP, Signal::SIGTERM]).expect("one"));
     }
+    let is_held_up = lot.bool();
+    while is_held_up && Instant::now() + HOLD_UP_SPACING < kill {
+        thread::sleep(Duration::from_millis(lot.u64(0..HOLD_UP_SPACING.as_millis() as u64 / 2)));
+        stage.hold_up(&mut lot);
+    }
     thread::sleep(kill.saturating_duration_since(Instant::now()));
     let at = Instant::now();
     stage.sidecar.signal(Signal::SIGKILL);
--- a/tests/soak/mod.rs
+++ b/tests/soak/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::world::*;
 use fastrand::Rng;
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::io::Write;
@@ -19,6 +20,8 @@
 /// Seeds that are played side by side.
 const AT_ONCE: usize = 4;
 const CLIENTS: usize = 12;
+/// The longest time that a process may be held up.
+const HOLD_UP_MS: u64 = 150;
 /// A request that comes later than this after SIGTERM is owed its answer before SIGKILL.
 const OWED_AFTER: Duration = Duration::from_millis(750);
 /// So long after its client's time an answer is worth nothing, and later it is lost.
@@ -86,6 +89,17 @@
     }
 }
 
+/// An answer that is longer than is held: whole, or reset in its midst.
+fn long(text: &str, kind: u32, pause: Duration) -> Reply {
+    let body = text.repeat(100_000 / text.len());
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    let (early, late) = body.split_at(body.len() / 2);
+    match kind {
+        15 => Reply::Pieces(vec![head + early, late.into()], pause),
+        _ => Reply::Reset(vec![head + early], pause),
+    }
+}
+
 /// Is this the body that the request of this id has to have?
 fn is_of(body: &str, id: &str) -> bool {
     !body.is_empty() && body.split(id).all(str::is_empty)
@@ -122,7 +136,7 @@
         Upstream::start(move |seen| {
             let (kind, pause) = {
                 let mut lot = lot.lock().expect("no panic");
-                (lot.u32(0..20), Duration::from_millis(lot.u64(0..300)))
+                (lot.u32(0..22), Duration::from_millis(lot.u64(0..300)))
             };
             let rejected = kind == 0;
             play.note_attempt(seen, rejected);
@@ -138,6 +152,7 @@
                 }
                 10 => Reply::Whole("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nhalf".into()),
                 11..=14 => streamed(id, kind, pause / 10),
+                15..=16 => long(id, kind, pause / 10),
                 _ => ok(id),
             }
         })
@@ -300,6 +315,14 @@
         Stage { play, sidecar, _upstreams: upstreams, _crowd: crowd, clients }
     }
 
+    /// Stops the process for no longer than it may be held up.
+    pub fn hold_up(&self, lot: &mut Rng) {
+        // It may have ended, and be waiting for its parent.
+        self.sidecar.signal(Signal::SIGSTOP);
+        thread::sleep(Duration::from_millis(lot.u64(5..HOLD_UP_MS)));
+        self.sidecar.signal(Signal::SIGCONT);
+    }
+
     /// No client asks any more; back once all have ended.
     pub fn close(&mut self) {
         self.play.closed.store(true, Ordering::SeqCst);
