--- a/src/bin/juniperspoke/answer.rs
+++ b/src/bin/juniperspoke/answer.rs
@@ -60,40 +60,26 @@
     }
 }
 
-/// Reads an answer that is small to its end; `None` if it breaks. `hold` gives room for it. What is begun has a piece to
-/// pass on: until then its request can still be answered otherwise.
+/// Reads an answer that is small to its end; `None` if it breaks. `hold` gives room for it.
 pub async fn read_answer(mut body: Incoming, hold: impl Fn(usize) -> Option<Share>) -> Option<AnswerBody> {
     let length = body.size_hint().exact();
     let size = length.map_or(HELD, |length| usize::try_from(length).unwrap_or(usize::MAX));
-    let share = if size <= HELD { hold(size) } else { None };
-    let mut first = VecDeque::from_iter(next_piece(&mut body).await.ok()?);
-    let until = Instant::now() + UNKNOWN_LENGTH_HOLD;
-    let Some(share) = share else {
-        let begun = Begun { first, body, _share: None };
-        return Some(if begun.first.is_empty() {
-            AnswerBody::Whole(Bytes::new())
-        } else {
-            AnswerBody::Begun(begun)
-        });
+    let (mut first, mut held, until) = (VecDeque::new(), 0, Instant::now() + UNKNOWN_LENGTH_HOLD);
+    let Some(share) = (if size <= HELD { hold(size) } else { None }) else {
+        return Some(AnswerBody::Begun(Begun { first, body, _share: None }));
     };
-    let mut held = first.front().map_or(0, Bytes::len);
-    while held <= HELD && !first.is_empty() {
+    while held <= HELD {
         let next = next_piece(&mut body);
         let piece = match length {
             Some(_) => Some(next.await),
             None => wait_until(until, pin!(next)).await,
         };
-        let Some(piece) = piece else {
-            return Some(AnswerBody::Begun(Begun { first, body, _share: Some(share) }));
-        };
-        let Some(piece) = piece.ok()? else { break };
+        let Some(piece) = piece else { break };
+        let Some(piece) = piece.ok()? else { return Some(AnswerBody::Whole(share.hold(joined(first)))) };
         held += piece.len();
         first.push_back(piece);
     }
-    if held > HELD {
-        return Some(AnswerBody::Begun(Begun { first, body, _share: Some(share) }));
-    }
-    Some(AnswerBody::Whole(share.hold(joined(first))))
+    Some(AnswerBody::Begun(Begun { first, body, _share: Some(share) }))
 }
 
 /// Why an answer that is passed on ended before its end.
@@ -166,10 +152,13 @@
     }
 
     /// Until when its upstream may let us wait. What is no longer than [`HELD`] is timed by its last byte, so a client
-    /// has to be able to tell by the end of its time that this does not come. What is longer is timed by its first.
+    /// has to be able to tell by the end of its time that this does not come; the same goes for what has yet to begin
+    /// behind its head. What is longer is timed by its first byte.
     fn until(&self) -> Instant {
-        let short = self.passed + self.size_hint().exact().unwrap_or(0) <= HELD as u64;
-        (Instant::now() + STALL).min(if short { self.by } else { self.over })
+        let left = self.size_hint().exact().unwrap_or(0);
+        let is_short = self.passed + left <= HELD as u64;
+        let by = if is_short || self.passed == 0 { self.by } else { self.over };
+        by.min(Instant::now() + STALL)
     }
 
     fn end(&mut self, end: StreamEnd) {
