--- a/tests/held_up.rs
+++ b/tests/held_up.rs
@@ -147,3 +147,16 @@
     let said = Answer::try_read(&mut asked.client).expect("a whole answer");
     assert_eq!(said.whole(), (200, ("begun".to_owned() + &"half".repeat(5)).as_str()));
 }
+
+/// Guards against attempts for a client that has long gone: one that closes with its request looks like one that has only
+/// ended its sending.
+#[test]
+fn no_attempt_begins_for_a_client_that_left_while_the_process_was_held_up() {
+    let (upstream, sidecar) = served(|_| {});
+    sidecar.pause();
+    drop(sidecar.send(&call("pay", 20.0)));
+    std::thread::sleep(HOLD_UP);
+    sidecar.signal(Signal::SIGCONT);
+    sidecar.serves(1, 5.0);
+    assert_eq!(upstream.requests().len(), 1, "that of the other client");
+}
