--- a/tests/elsewhere.rs
+++ b/tests/elsewhere.rs
@@ -16,3 +16,5 @@
 mod settings;
 #[path = "sockets.rs"]
 mod sockets;
+#[path = "stale_requests.rs"]
+mod stale_requests;
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -7,26 +7,9 @@
 use serde_json::{Value, json};
 use std::io::{Read, Write};
 use std::net::Shutdown;
-use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 use world::*;
 
-/// Upstreams answer once it is open.
-#[derive(Clone, Default)]
-struct Gate(Arc<(Mutex<bool>, Condvar)>);
-
-impl Gate {
-    fn open(&self) {
-        *self.0.0.lock().expect("no panic") = true;
-        self.0.1.notify_all();
-    }
-
-    fn pass(&self) {
-        let gate = self.0.0.lock().expect("no panic");
-        drop(self.0.1.wait_while(gate, |open| !*open).expect("no panic"));
-    }
-}
-
 /// An upstream that answers what it has once the gate is open, and its sidecar.
 fn gated(change: impl FnOnce(&mut Value)) -> (Gate, Upstream, Sidecar) {
     let gate = Gate::default();
--- /dev/null
+++ b/tests/stale_requests.rs
@@ -0,0 +1,209 @@
+//! Requests, and ends of their clients, that the process reads long after they came: it was stopped, or their connections
+//! waited to be accepted. The real program; each crossing is forced by the order of events.
+
+mod world;
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+use socket2::SockRef;
+use std::io::Write;
+use std::net::{Shutdown, TcpStream};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use world::*;
+
+/// Classes with their methods: one that may always be sent again, and one that may not once it may have run.
+const CLASSES: [(&str, &str); 2] = [("look", "GET"), ("pay", "POST")];
+/// How long the process is stopped.
+const HOLD_UP: Duration = Duration::from_millis(460);
+/// How long the clients wait that leave meanwhile.
+const BUDGET: Duration = Duration::from_millis(140);
+/// An attempt may begin so long after its client has closed.
+const MAY_BEGIN: Duration = Duration::from_millis(100);
+/// What a deadline that is passed on may be too long by.
+const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+/// Tells the requests of these clients apart.
+const THEIRS: &str = "/theirs";
+
+/// Turns their requests away, so that further attempts begin, and serves all others.
+fn turn_theirs_away(seen: &Seen) -> Reply {
+    if seen.line.contains(THEIRS) { Reply::text(503, "X-Rejected: 1\r\n", "") } else { ok("served") }
+}
+
+/// Attempts for them, as their upstreams saw them.
+fn attempts(upstreams: &[Upstream]) -> Vec<Seen> {
+    let all = upstreams.iter().flat_map(Upstream::requests);
+    all.filter(|seen| seen.line.contains(THEIRS)).collect()
+}
+
+/// Closes with a reset.
+fn reset(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
+}
+
+fn asked_for_readiness(sidecar: &Sidecar) -> TcpStream {
+    let mut stream = sidecar.connect();
+    stream.write_all(b"GET /health/ready HTTP/1.1\r\nHost: n0\r\n\r\n").expect("written");
+    assert_eq!(Answer::read(&mut stream).status, 200);
+    stream
+}
+
+/// Stops the process, sends it requests on connections of both kinds, kept ones and such as it has yet to accept, and
+/// lets it go on.
+fn send_while_stopped(sidecar: &Sidecar, budget: Duration, meanwhile: impl FnOnce(Vec<TcpStream>)) {
+    let kept: Vec<_> = (0..6).map(|_| asked_for_readiness(sidecar)).collect();
+    sidecar.pause();
+    let stopped_at = Instant::now();
+    let mut clients: Vec<_> = kept.into_iter().chain((0..6).map(|_| sidecar.connect())).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let (class, method) = CLASSES[number % CLASSES.len()];
+        let call = call(class, budget.as_secs_f64()).method(method).path(THEIRS);
+        client.write_all(call.text().as_bytes()).expect("written");
+    }
+    meanwhile(clients);
+    sleep(HOLD_UP.saturating_sub(stopped_at.elapsed()));
+    sidecar.signal(Signal::SIGCONT);
+}
+
+/// Incident 906fe8: requests of clients that had left while the process stood still were sent on, some of them twice.
+#[test]
+fn nothing_is_sent_on_for_clients_that_left_while_the_process_was_stopped() {
+    for leave in [drop, reset] {
+        let upstreams = twins(turn_theirs_away);
+        let sidecar = Sidecar::start(&upstreams.each_ref());
+        send_while_stopped(&sidecar, BUDGET, |clients| {
+            sleep(BUDGET);
+            clients.into_iter().for_each(leave);
+        });
+        sidecar.serves(1, 5.0);
+        assert_eq!(attempts(&upstreams).len(), 0);
+    }
+}
+
+/// Incident 906fe8: the same, where their time was not over.
+#[test]
+fn nothing_is_sent_on_for_clients_that_left_early_while_the_process_was_stopped() {
+    for leave in [drop, reset] {
+        let upstreams = twins(turn_theirs_away);
+        let sidecar = Sidecar::start(&upstreams.each_ref());
+        send_while_stopped(&sidecar, Duration::from_secs(20), |clients| clients.into_iter().for_each(leave));
+        sidecar.serves(1, 5.0);
+        assert_eq!(attempts(&upstreams).len(), 0);
+    }
+}
+
+/// Guards against attempts for a client that has reset its connection: it has not only ended its sending.
+#[test]
+fn nothing_is_sent_on_for_clients_that_have_reset_however_short_the_stop() {
+    let upstreams = twins(turn_theirs_away);
+    let sidecar = Sidecar::start(&upstreams.each_ref());
+    sidecar.pause();
+    (0..10).for_each(|_| reset(sidecar.send(&call("pay", 20.0).path(THEIRS))));
+    sidecar.signal(Signal::SIGCONT);
+    sidecar.serves(1, 5.0);
+    assert_eq!(attempts(&upstreams).len(), 0);
+}
+
+/// Incident 906fe8: the time of a request was counted from when it was read.
+#[test]
+fn a_request_whose_time_was_over_before_it_was_read_is_refused_and_goes_nowhere() {
+    let upstreams = twins(|_| ok("served"));
+    let sidecar = Sidecar::start(&upstreams.each_ref());
+    let mut waiting = Vec::new();
+    send_while_stopped(&sidecar, BUDGET, |clients| waiting = clients);
+    waiting.iter_mut().for_each(|client| assert_eq!(Answer::read(client).status, 503));
+    assert_eq!(attempts(&upstreams).len(), 0);
+}
+
+/// Guards against a deadline passed on that is counted from when the request was read.
+#[test]
+fn the_deadline_passed_on_is_what_is_left_of_a_time_that_began_before_the_request_was_read() {
+    let budget = Duration::from_millis(1_400);
+    let upstreams = twins(|_| ok("served"));
+    let sidecar = Sidecar::start(&upstreams.each_ref());
+    let mut waiting = Vec::new();
+    send_while_stopped(&sidecar, budget, |clients| waiting = clients);
+    waiting.iter_mut().for_each(|client| assert_eq!(Answer::read(client).whole(), (200, "served")));
+    for attempt in attempts(&upstreams) {
+        let passed_on: f64 = attempt.header("x-budget").and_then(|text| text.parse().ok()).expect("a time");
+        let most = (budget - HOLD_UP + DEADLINE_SLACK).as_secs_f64();
+        assert!(passed_on <= most, "{passed_on} s passed on where at most {most} s are allowed");
+    }
+}
+
+/// Guards against attempts that begin as the process goes on, before it has heard that their clients left meanwhile.
+#[test]
+fn what_waited_for_clients_that_left_while_the_process_was_stopped_is_not_sent_on() {
+    let (upstream, sidecar) = served(|config| {
+        for class in config["settings"]["requestClasses"].as_array_mut().expect("classes") {
+            class["aim"] = json!(120_000.0);
+        }
+    });
+    sidecar.discovery.tell(2, true, &[upstream.line("Terminating")]);
+    let clients: Vec<_> = (0..200).map(|_| sidecar.send(&call("pay", 20.0).path(THEIRS))).collect();
+    (0..2).for_each(|_| assert_ne!(sidecar.ready(), 0));
+    sidecar.pause();
+    drop(clients);
+    sleep(HOLD_UP);
+    sidecar.discovery.say(3, true, &[upstream.line("Ready")]);
+    sidecar.signal(Signal::SIGCONT);
+    sidecar.discovery.wait_for_index(3);
+    sidecar.serves(1, 5.0);
+    assert_eq!(attempts(&[upstream]).len(), 0);
+}
+
+/// Incident 906fe8, its other cause: clients that leave while they wait to be accepted.
+#[test]
+fn nothing_is_sent_on_for_clients_that_left_before_they_were_accepted() {
+    let (upstream, sidecar) = served(|config| config["limits"]["sockets"] = json!(40));
+    // They take all places, and are asked to give way only after a time.
+    let silent: Vec<_> = (0..60).map(|_| sidecar.connect()).collect();
+    let waiting: Vec<_> = (0..5).map(|_| sidecar.send(&call("pay", 20.0).path(THEIRS))).collect();
+    sleep(MAY_BEGIN);
+    drop(waiting);
+    sleep(MAY_BEGIN);
+    drop(silent);
+    sidecar.serves(1, 20.0);
+    assert_eq!(attempts(&[upstream]).len(), 0);
+}
+
+/// Guards against taking for gone a client that has only ended its sending, though the process was stopped before.
+#[test]
+fn who_ends_its_sending_after_a_stop_is_served() {
+    let (_upstream, sidecar) = served(|_| {});
+    sidecar.pause();
+    sleep(HOLD_UP);
+    let mut client = sidecar.send(&call("pay", 20.0));
+    client.shutdown(Shutdown::Write).expect("shut");
+    sidecar.signal(Signal::SIGCONT);
+    assert_eq!(Answer::read(&mut client).whole(), (200, "served"));
+}
+
+/// Incident 906fe8: servers whose answers came while the process was stopped were ejected as it went on.
+#[test]
+fn servers_whose_answers_came_while_the_process_was_stopped_are_not_blamed() {
+    let gate = Gate::default();
+    let of = gate.clone();
+    let upstreams = twins(move |seen| {
+        if seen.line.contains(THEIRS) {
+            of.pass();
+        }
+        ok("served")
+    });
+    let sidecar = Sidecar::with(&upstreams.each_ref(), |config| {
+        with_door(config);
+        alone(config);
+    });
+    let call = || call("look", BUDGET.as_secs_f64()).method("GET").path(THEIRS);
+    let mut waiting: Vec<_> = (0..8).map(|_| sidecar.send(&call())).collect();
+    for upstream in &upstreams {
+        upstream.wait_for("some requests", |state| state.requests.len() >= 2);
+    }
+    sidecar.pause();
+    gate.open();
+    sleep(HOLD_UP);
+    sidecar.signal(Signal::SIGCONT);
+    waiting.iter_mut().for_each(|client| drop(Answer::read(client)));
+    assert_eq!(sidecar.figure("hosts_down"), 0);
+    sidecar.serves(4, 5.0);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -92,6 +92,22 @@
     }
 }
 
+/// Upstreams answer once it is open.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<(Mutex<bool>, Condvar)>);
+
+impl Gate {
+    pub fn open(&self) {
+        *self.0.0.lock().expect("no panic") = true;
+        self.0.1.notify_all();
+    }
+
+    pub fn pass(&self) {
+        let gate = self.0.0.lock().expect("no panic");
+        drop(self.0.1.wait_while(gate, |open| !*open).expect("no panic"));
+    }
+}
+
 /// State that a test waits on.
 struct Watched<T>(Mutex<T>, Condvar);
 
