A request, and its client's end, count from when they came, not from when they are read

The process took the time at which it read a request for the time at which that came, and the time at which it noticed an end for the time of the end: what lay in its sockets while it was stopped, or in the queue of connections to be accepted, looked new. So a client that had long closed looked like one that had ended its sending just now, for which attempts may begin for 80 ms; a request that was over its time was sent on; and the deadline that was passed on was too long by as much.

Linux tells how old the last bytes and the last segment of a connection are (TCP_INFO; no crate in use asks for it, so tcp_info.rs has the call). It is asked where the event loop, by a heartbeat, may have looked away for 50 ms or more, or where a client has ended, and believed up to the time at which the socket, or the queue, was last known to be empty: a clock that disagrees with the process's own can't make fresh requests old. Before an attempt begins after such a gap the socket itself is asked, since its events may be late. Who has reset its connection has left: that is no end of its sending alone. The heartbeat also sees hold-ups of a process that has no timer due.

In the log: how long a request had lain unread, and each refusal of one whose client had ended before; counted as left_unread.

--- /dev/null
+++ b/src/bin/juniperspoke/arrivals.rs
@@ -0,0 +1,98 @@
+//! When what is read on a client's connection came, which may be long before it is read.
+
+use crate::heartbeat::Looks;
+use micapier::staleness::{ORDINARY_GAP, Unread};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Follows the reads of one connection.
+pub struct Arrivals {
+    looks: Looks,
+    /// Nothing was there to be read then.
+    empty_at: Instant,
+    /// We wait for its client.
+    waits: bool,
+    /// We waited for its client until then, when the first came of what has been read since.
+    waited_until: Instant,
+    /// The last of what has been read came then.
+    last: Instant,
+}
+
+impl Arrivals {
+    pub fn new(looks: Looks) -> Arrivals {
+        let (empty_at, now) = (looks.latest(), Instant::now());
+        Arrivals { looks, empty_at, waits: true, waited_until: now, last: now }
+    }
+
+    /// Until when we waited for its client the last time: now, while we still do.
+    pub fn waited_until(&self) -> Instant {
+        if self.waits { Instant::now() } else { self.waited_until }
+    }
+
+    /// When the last of what has been read came.
+    pub fn last(&self) -> Instant {
+        self.last
+    }
+
+    /// The socket was asked then, and had nothing to be read.
+    pub fn found_empty(&mut self, at: Instant) {
+        self.empty_at = at;
+    }
+
+    /// The runtime knows of nothing to be read. The socket itself may not have been asked.
+    pub fn wait(&mut self) {
+        self.note_looks();
+        self.waits = true;
+    }
+
+    /// Some has been read. `told` is since when the last of that has been there, by the system.
+    pub fn read(&mut self, told: impl FnOnce() -> Option<Duration>) {
+        let now = Instant::now();
+        if self.waits {
+            self.note_looks();
+        }
+        let at_most = now.saturating_duration_since(self.empty_at);
+        let told = if at_most < ORDINARY_GAP { None } else { told() };
+        self.last = now - Unread { at_most, told }.age_of_bytes();
+        if std::mem::replace(&mut self.waits, false) {
+            self.waited_until = self.last;
+        }
+    }
+
+    /// While we wait the event loop would have told of what had come by its latest look.
+    fn note_looks(&mut self) {
+        self.empty_at = self.empty_at.max(self.looks.latest());
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::time::advance;
+
+    const HELD_UP: Duration = Duration::from_millis(460);
+
+    #[tokio::test(start_paused = true)]
+    async fn what_is_read_late_came_when_the_system_says_but_not_before_the_socket_was_empty() {
+        for (told, age) in [(Some(300), 300), (Some(9_000), 460), (None, 0)] {
+            let mut arrivals = Arrivals::new(Looks::from_now());
+            arrivals.found_empty(Instant::now());
+            arrivals.wait();
+            advance(HELD_UP).await;
+            arrivals.read(|| told.map(Duration::from_millis));
+            assert_eq!(arrivals.last().elapsed(), Duration::from_millis(age), "{told:?}");
+            assert_eq!(arrivals.waited_until(), arrivals.last());
+        }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn what_is_read_right_after_a_look_is_new_and_the_system_is_not_asked() {
+        let mut arrivals = Arrivals::new(Looks::from_now());
+        advance(HELD_UP).await;
+        arrivals.found_empty(Instant::now());
+        arrivals.wait();
+        advance(ORDINARY_GAP / 2).await;
+        arrivals.read(|| panic!("asked"));
+        assert_eq!(arrivals.last(), Instant::now());
+    }
+}
--- a/src/bin/juniperspoke/bodies.rs
+++ b/src/bin/juniperspoke/bodies.rs
@@ -365,6 +365,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::heartbeat::Looks;
     use crate::peer::Peer;
     use crate::upstream::BUFFER;
     use hyper::service::service_fn;
@@ -382,7 +383,8 @@
         let addr = listener.local_addr().expect("an address");
         let mut client = std::net::TcpStream::connect(addr).expect("a connection");
         client.write_all(format!("POST / HTTP/1.1\r\n{begins}").as_bytes()).expect("written");
-        let (peer, heads, _socket) = Peer::client(listener.accept().await.expect("a connection").0);
+        let (peer, heads, _socket) =
+            Peer::client(listener.accept().await.expect("a connection").0, Looks::from_now());
         let (start, (told, mut heard)) = (Instant::now(), unbounded_channel());
         let service = service_fn(|request: Request<Incoming>| {
             let mut intake = Intake::new(request.into_body(), Duration::from_secs(60), heads.clone());
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -24,9 +24,6 @@
 /// after twice this; if it is silent then, the request is answered after once this.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
-/// What falls due is looked at so much later only where the process was held up.
-const HELD_UP: Duration = Duration::from_millis(50);
-
 /// The same note is logged again after so long.
 const LOG_AGAIN: Duration = Duration::from_secs(10);
 
@@ -174,11 +171,6 @@
         let now = Instant::now();
         let first_due = self.timers.peek().map(|Reverse((at, _))| *at);
         let is_due = first_due.is_some_and(|at| at <= now);
-        let late = first_due.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        if late >= HELD_UP {
-            tracing::info!(?late, requests = self.requests.len(), "the process was held up");
-            self.upstreams.metrics().count_held_up();
-        }
         let told = if is_due { self.from.len() } else { 0 };
         for _ in 0..told {
             if let Ok(happening) = self.from.try_recv() {
@@ -280,7 +272,8 @@
         let (answer, answer_by, attempts) = (Some(answer), Some(by), Vec::new());
         let Inbound { class, tenant, cost, origin, answer_by: at_the_latest, .. } = inbound;
         let call = outbound.headers.get("x-call-id");
-        tracing::debug!(request = id.0, ?call, class, ?budget, ?by, "taken");
+        let unread = now.saturating_duration_since(inbound.since);
+        tracing::debug!(request = id.0, ?call, class, ?budget, ?by, ?unread, "taken");
         let owed = Owed { outbound, class, tenant, budget, answer_by, at_the_latest, answer, attempts };
         self.requests.insert(id, owed);
         self.timers.push(Reverse((by, Due::Backstop(id))));
--- a/src/bin/juniperspoke/leaving.rs
+++ b/src/bin/juniperspoke/leaving.rs
@@ -3,34 +3,67 @@
 //! Who has ended its sending by the time its request is read may wait for the answer. What is out for it goes on, but
 //! nothing begins any more after a moment, in case it has closed. Who ends it later has gone.
 
+use micapier::staleness::ClientEnd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// No attempt begins later than this after the client's end: less than the 0.1 s that are allowed.
-const BEGINS: Duration = Duration::from_millis(80);
-
-/// When a client ended its sending, if it has.
-pub struct End(watch::Sender<Option<Instant>>);
+/// How a client has ended, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// It sends nothing more.
+    Sending(Instant),
+    /// It has reset its connection.
+    Reset,
+}
 
-impl Default for End {
-    fn default() -> End {
-        End(watch::Sender::new(None))
+impl Ended {
+    fn lets_begin(self) -> bool {
+        let end = match self {
+            Ended::Sending(at) => ClientEnd::Sending(at.elapsed()),
+            Ended::Reset => ClientEnd::Reset,
+        };
+        end.lets_begin()
     }
 }
 
+/// How a client has ended, if it has.
+pub struct End {
+    noted: watch::Sender<Option<Ended>>,
+    /// Asks for what has not been told of yet.
+    unseen: Box<dyn Fn() -> Option<Ended> + Send + Sync>,
+}
+
 impl End {
-    /// It has just been seen.
-    pub fn note(&self) {
-        self.0.send_if_modified(|at| at.is_none() && at.replace(Instant::now()).is_none());
+    /// `unseen` tells of an end that has not been noted yet, if it can.
+    pub fn new(unseen: impl Fn() -> Option<Ended> + Send + Sync + 'static) -> End {
+        End { noted: watch::Sender::new(None), unseen: Box::new(unseen) }
+    }
+
+    /// It has ended so. Of two ends of its sending the first counts.
+    pub fn note(&self, ended: Ended) {
+        self.noted.send_if_modified(|noted| {
+            let is_new = noted.is_none() || ended == Ended::Reset && *noted != Some(ended);
+            if is_new {
+                *noted = Some(ended);
+            }
+            is_new
+        });
+    }
+
+    /// For a request whose last byte has just been read. `waits` says that its client had ended by then.
+    pub fn of_request(self: &Arc<Self>, waits: bool) -> RequestEnd {
+        RequestEnd { waits, end: self.clone(), settled: Arc::default() }
     }
 
-    /// For a request whose last byte has just been read.
-    pub fn of_request(&self) -> RequestEnd {
-        let (waits, settled) = (self.0.borrow().is_some(), Arc::default());
-        RequestEnd { waits, at: self.0.subscribe(), settled }
+    fn lets_begin(&self) -> bool {
+        if self.noted.borrow().is_none()
+            && let Some(ended) = (self.unseen)()
+        {
+            self.note(ended);
+        }
+        self.noted.borrow().is_none_or(Ended::lets_begin)
     }
 }
 
@@ -39,7 +72,7 @@
 pub struct RequestEnd {
     /// The client had ended its sending before.
     waits: bool,
-    at: watch::Receiver<Option<Instant>>,
+    end: Arc<End>,
     /// It has been answered, or dropped by whoever waited on it.
     settled: Arc<AtomicBool>,
 }
@@ -52,15 +85,15 @@
 
     /// May an attempt begin now?
     pub fn lets_begin(&self) -> bool {
-        let settled = self.settled.load(Ordering::Relaxed);
-        !settled && self.at.borrow().is_none_or(|at| at.elapsed() <= BEGINS)
+        !self.settled.load(Ordering::Relaxed) && self.end.lets_begin()
     }
 
-    /// Waits until the client has left: for ever where it had only ended its sending with this request.
-    pub async fn left(mut self) {
-        if self.waits || self.at.wait_for(Option::is_some).await.is_err() {
-            std::future::pending().await
-        }
+    /// Waits until the client has left. Who had only ended its sending with this request has left once it resets.
+    pub async fn left(self) {
+        let has_left =
+            |ended: &Option<Ended>| ended.is_some_and(|ended| !self.waits || ended == Ended::Reset);
+        // It fails only without a sender, which is here.
+        let _ = self.end.noted.subscribe().wait_for(has_left).await;
     }
 }
 
@@ -68,31 +101,52 @@
 impl RequestEnd {
     /// Of a client that stays.
     pub fn never() -> RequestEnd {
-        End::default().of_request()
+        Arc::new(End::new(|| None)).of_request(false)
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use micapier::staleness::BEGINS_AFTER_END;
+    use std::time::Duration;
     use tokio::time::{advance, timeout};
 
     #[tokio::test(start_paused = true)]
     async fn who_ends_with_its_request_may_wait_and_who_ends_later_has_left() {
         for waits in [true, false] {
-            let end = End::default();
-            let later = end.of_request();
-            end.note();
-            let request = if waits { end.of_request() } else { later };
-            let other = end.of_request();
+            let end = Arc::new(End::new(|| None));
+            let later = end.of_request(false);
+            end.note(Ended::Sending(Instant::now()));
+            let request = if waits { end.of_request(true) } else { later };
+            let other = end.of_request(true);
             other.clone().settle();
             assert!(!other.lets_begin(), "answered, or dropped");
             assert!(request.lets_begin(), "what is about to be sent is not held back");
-            advance(BEGINS + Duration::from_millis(1)).await;
-            end.note();
+            advance(BEGINS_AFTER_END + Duration::from_millis(1)).await;
+            end.note(Ended::Sending(Instant::now()));
             assert!(!request.lets_begin(), "nothing begins after a moment");
             let left = timeout(Duration::from_secs(60), request.left()).await.is_ok();
             assert_eq!(left, !waits);
         }
     }
+
+    #[tokio::test(start_paused = true)]
+    async fn who_has_reset_has_left_though_it_had_ended_its_sending_before() {
+        let end = Arc::new(End::new(|| None));
+        end.note(Ended::Sending(Instant::now()));
+        let request = end.of_request(true);
+        assert!(request.lets_begin());
+        end.note(Ended::Reset);
+        assert!(!request.lets_begin());
+        assert!(timeout(Duration::from_secs(60), request.left()).await.is_ok());
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_end_that_nobody_has_told_of_yet_counts() {
+        let long_ago = Instant::now();
+        advance(Duration::from_secs(1)).await;
+        let end = Arc::new(End::new(move || Some(Ended::Sending(long_ago))));
+        assert!(!end.of_request(false).lets_begin());
+    }
 }
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -1,8 +1,10 @@
 //! A sidecar: takes the requests of the application beside it and sends each to an upstream.
-// `listener` has the one line that is allowed.
+// `listener` and `tcp_info` have the lines that are allowed.
 #![deny(unsafe_code)]
 
+mod accept;
 mod answer;
+mod arrivals;
 mod bans;
 mod bodies;
 mod budget;
@@ -14,6 +16,7 @@
 mod fleet;
 mod framing;
 mod handle;
+mod heartbeat;
 mod idle;
 mod instances;
 mod leaving;
@@ -25,6 +28,7 @@
 mod server;
 mod starts;
 mod system;
+mod tcp_info;
 mod upstream;
 
 use bans::Bans;
@@ -33,6 +37,7 @@
 use config::{Config, ConfigError};
 use control::Control;
 use driver::Driver;
+use heartbeat::Heartbeat;
 use life::{Life, Presence};
 use listener::ListenError;
 use metrics::Metrics;
@@ -118,7 +123,16 @@
     counted + KILL_GRACE
 }
 
+/// Since when clients may wait at the listener of a process that starts now. Where it is inherited, another process may
+/// have left some; those that have waited for longer than the longest deadline have left.
+fn none_came_by(is_inherited: bool) -> Instant {
+    let now = Instant::now();
+    let by = if is_inherited { now.checked_sub(LONGEST_DEADLINE) } else { None };
+    by.unwrap_or(now)
+}
+
 async fn run(inherited: Option<TcpListener>) -> Result<(), StartError> {
+    let none_by = none_came_by(inherited.is_some());
     let (mut term, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let config = Arc::new(Config::from_env()?);
     // Where the platform holds the socket, an upgrade's other process may run beside this one: half is its own.
@@ -160,8 +174,17 @@
     let revision = known.as_ref().map(|known| known.revision).filter(|_| !beside);
     let bans = Bans::open(&dir, &name);
     let life = Arc::new(Life::new());
-    let server =
-        Server::new(config.clone(), handle.clone(), life.clone(), metrics.clone(), budget, clients.max(1));
+    let heartbeat = Heartbeat::new();
+    tokio::spawn(heartbeat.clone().beat(metrics.clone()));
+    let server = Server::new(
+        config.clone(),
+        handle.clone(),
+        life.clone(),
+        metrics.clone(),
+        budget,
+        clients.max(1),
+        heartbeat,
+    );
     let mut operators = None;
     if let Some(listener) = control {
         tracing::info!("{}: control on {}", config.name, listener.local_addr()?);
@@ -185,7 +208,7 @@
             while beside && !handle.is_ready() {
                 sleep(LOOK).await;
             }
-            server.listen(listener).await;
+            server.listen(listener, none_by).await;
         }
     });
     tokio::select! {
--- a/src/bin/juniperspoke/metrics.rs
+++ b/src/bin/juniperspoke/metrics.rs
@@ -32,14 +32,15 @@
     /// Answers that were passed on and not to their end, by [`Cut`].
     cuts: [AtomicU64; CUTS.len()],
     held_up: AtomicU64,
+    left_unread: AtomicU64,
     inflight: AtomicU64,
 }
 
 impl Metrics {
     pub fn new(classes: &[String]) -> Arc<Metrics> {
         let classes = classes.iter().map(|name| (name.clone(), Calls::default())).collect();
-        let (attempts, cuts, held_up, inflight) = Default::default();
-        Arc::new(Metrics { classes, attempts, cuts, held_up, inflight })
+        let (attempts, cuts, held_up, left_unread, inflight) = Default::default();
+        Arc::new(Metrics { classes, attempts, cuts, held_up, left_unread, inflight })
     }
 
     /// A request of this class has been taken.
@@ -63,6 +64,11 @@
         self.held_up.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// A request has been refused, since its client had ended before it was read.
+    pub fn count_left_unread(&self) {
+        self.left_unread.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// The figures as operators read them: `name:value|c` for a count, `|g` for what is now.
     pub fn text(&self, hosts: Hosts) -> String {
         let mut text = String::new();
@@ -80,6 +86,7 @@
             line(&format!("answers_cut.{name}"), count.load(Ordering::Relaxed), 'c');
         }
         line("held_up", self.held_up.load(Ordering::Relaxed), 'c');
+        line("left_unread", self.left_unread.load(Ordering::Relaxed), 'c');
         line("inflight", self.inflight.load(Ordering::Relaxed), 'g');
         line("hosts_listed", hosts.listed as u64, 'g');
         line("hosts_down", hosts.avoided as u64, 'g');
@@ -130,6 +137,7 @@
         }
         metrics.count_attempt();
         metrics.count_held_up();
+        metrics.count_left_unread();
         CUTS.iter().for_each(|(cut, _)| metrics.count_cut(*cut));
         metrics.count_cut(Cut::Silent);
         let expected = "edge_balancer.calls.pay.success:1|c\nedge_balancer.calls.pay.busy:1|c\n\
@@ -137,7 +145,7 @@
             edge_balancer.calls.look.busy:0|c\nedge_balancer.calls.look.failure:1|c\n\
             edge_balancer.backend_calls:1|c\nedge_balancer.answers_cut.broken:1|c\n\
             edge_balancer.answers_cut.silent:2|c\nedge_balancer.answers_cut.too_long:1|c\n\
-            edge_balancer.held_up:1|c\nedge_balancer.inflight:0|g\n\
+            edge_balancer.held_up:1|c\nedge_balancer.left_unread:1|c\nedge_balancer.inflight:0|g\n\
             edge_balancer.hosts_listed:7|g\nedge_balancer.hosts_down:2|g\n";
         assert_eq!(metrics.text(hosts), expected);
     }
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -1,8 +1,13 @@
 //! Sockets of peers that have to make progress: who takes nothing, or never ends a head, is cut. A client's is
 //! closed in such a way that it has what was written.
 
+use crate::arrivals::Arrivals;
 use crate::framing::Framing;
+use crate::heartbeat::Looks;
+use crate::leaving::Ended;
 use crate::system::retry_interrupted;
+use crate::tcp_info::{self, PeerEnd};
+use micapier::staleness::{ORDINARY_GAP, Unread};
 use socket2::SockRef;
 use std::future::poll_fn;
 use std::io::{self, IoSlice};
@@ -49,8 +54,7 @@
 /// What has been read on a client's connection.
 struct Known {
     framing: Framing,
-    /// When its socket was last seen to be empty, and whether it still is.
-    empty: (Instant, bool),
+    arrivals: Arrivals,
 }
 
 /// What is known of the heads on a client's connection, and of when it has let us wait.
@@ -58,8 +62,9 @@
 pub struct Heads(Arc<Mutex<Known>>);
 
 impl Heads {
-    fn new(now: Instant) -> Heads {
-        Heads(Arc::new(Mutex::new(Known { framing: Framing::new(), empty: (now, true) })))
+    fn new(looks: Looks) -> Heads {
+        let (framing, arrivals) = (Framing::new(), Arrivals::new(looks));
+        Heads(Arc::new(Mutex::new(Known { framing, arrivals })))
     }
 
     fn known(&self) -> MutexGuard<'_, Known> {
@@ -78,8 +83,13 @@
 
     /// When we last had to wait for its client: what has been read since was not there then.
     pub fn waited_at(&self) -> Instant {
-        let (at, still) = self.known().empty;
-        if still { Instant::now() } else { at }
+        let known = self.known();
+        known.arrivals.waited_until()
+    }
+
+    /// When the last of what has been read came, which may be long before it was read.
+    pub fn arrived_at(&self) -> Instant {
+        self.known().arrivals.last()
     }
 
     /// The connection closes with the last answer to what has been read; nothing is read beyond that.
@@ -112,7 +122,7 @@
             }
             let mut bytes = [0; 4096];
             let mut dropped = ReadBuf::new(&mut bytes);
-            match ready!(Peer::poll_bytes(stream, context, &mut dropped, usize::MAX)) {
+            match ready!(Peer::poll_bytes(stream, context, &mut dropped, usize::MAX, |_| ())) {
                 Ok(()) if !dropped.filled().is_empty() => {}
                 _ => return Poll::Ready(Ok(())),
             }
@@ -124,6 +134,9 @@
 pub struct Socket {
     stream: Arc<TcpStream>,
     write_blocked: Arc<AtomicBool>,
+    looks: Looks,
+    /// Its client was last known not to have ended then.
+    open_at: Mutex<Instant>,
 }
 
 impl Socket {
@@ -150,9 +163,46 @@
         drop(poll_fn(|context| linger.poll(&self.stream, context)).await);
     }
 
-    /// Has the client ended its sending, with nothing of it left to be read?
+    /// Has the client ended, with nothing of it left to be read?
     pub fn has_ended(&self) -> bool {
-        self.peek().is_ok_and(|count| count == 0)
+        match self.peek() {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
+    /// How the client has ended, if it has. The system is asked: the socket's events may not have told of it yet.
+    pub fn end(&self) -> Option<Ended> {
+        // Before the call: it may end right behind it.
+        let now = Instant::now();
+        let info = tcp_info::query(&*self.stream);
+        let peer_end = match &info {
+            Ok(info) => info.peer_end,
+            Err(_) if self.has_ended() => PeerEnd::Sending,
+            Err(_) => PeerEnd::Nothing,
+        };
+        match peer_end {
+            PeerEnd::Nothing => {
+                *self.open_at.lock().unwrap_or_else(PoisonError::into_inner) = now;
+                None
+            }
+            PeerEnd::Sending => {
+                let at_most = now.saturating_duration_since(self.known_open_at());
+                let unread = Unread { at_most, told: info.ok().map(|info| info.since_segment) };
+                Some(Ended::Sending(now - unread.age_of_end()))
+            }
+            PeerEnd::All => Some(Ended::Reset),
+        }
+    }
+
+    /// The same, where the socket's events may be late.
+    pub fn unseen_end(&self) -> Option<Ended> {
+        if self.known_open_at().elapsed() < ORDINARY_GAP { None } else { self.end() }
+    }
+
+    fn known_open_at(&self) -> Instant {
+        let open_at = *self.open_at.lock().unwrap_or_else(PoisonError::into_inner);
+        open_at.max(self.looks.latest())
     }
 
     /// Has anything come that has not been read?
@@ -194,12 +244,13 @@
         Peer::new(Arc::new(stream), None)
     }
 
-    pub fn client(stream: TcpStream) -> (Peer, Heads, Socket) {
-        let (stream, heads) = (Arc::new(stream), Heads::new(Instant::now()));
+    pub fn client(stream: TcpStream, looks: Looks) -> (Peer, Heads, Socket) {
+        let (stream, heads) = (Arc::new(stream), Heads::new(looks.clone()));
         let first_by = Some(Instant::now() + HEAD_PATIENCE);
         let reading = Patience { heads: heads.clone(), limit: Limit::default(), first_by };
         let peer = Peer::new(stream.clone(), Some(reading));
-        let socket = Socket { stream, write_blocked: peer.write_blocked.clone() };
+        let (write_blocked, open_at) = (peer.write_blocked.clone(), Mutex::new(looks.latest()));
+        let socket = Socket { stream, write_blocked, looks, open_at };
         (peer, heads, socket)
     }
 
@@ -208,20 +259,23 @@
         Peer { stream, writing, write_blocked, reading, linger }
     }
 
-    /// Reads what there is, up to so much; nothing at the end.
+    /// Reads what there is, up to so much; nothing at the end. Tells when the socket itself says that there is nothing.
     fn poll_bytes(
         stream: &TcpStream, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>, most: usize,
+        mut found_empty: impl FnMut(Instant),
     ) -> Poll<io::Result<()>> {
         let most = most.min(buffer.remaining());
         loop {
             ready!(stream.poll_read_ready(context))?;
             let bytes = buffer.initialize_unfilled_to(most);
+            // Before the call: something may come right behind it.
+            let asked_at = Instant::now();
             match retry_interrupted(|| stream.try_read(bytes)) {
                 Ok(count) => {
                     buffer.advance(count);
                     return Poll::Ready(Ok(()));
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => found_empty(asked_at),
                 Err(error) => return Poll::Ready(Err(error)),
             }
         }
@@ -266,12 +320,15 @@
         let peer = self.get_mut();
         let before = buffer.filled().len();
         let Some(Patience { heads, limit, first_by }) = &mut peer.reading else {
-            return Peer::poll_bytes(&peer.stream, context, buffer, usize::MAX);
+            return Peer::poll_bytes(&peer.stream, context, buffer, usize::MAX, |_| ());
         };
-        let Known { framing, empty } = &mut *heads.known();
-        let done = Peer::poll_bytes(&peer.stream, context, buffer, framing.room());
-        if done.is_pending() || empty.1 {
-            *empty = (Instant::now(), done.is_pending());
+        let Known { framing, arrivals } = &mut *heads.known();
+        let found_empty = |at| arrivals.found_empty(at);
+        let done = Peer::poll_bytes(&peer.stream, context, buffer, framing.room(), found_empty);
+        if done.is_pending() {
+            arrivals.wait();
+        } else if buffer.filled().len() > before {
+            arrivals.read(|| Some(tcp_info::query(&*peer.stream).ok()?.since_bytes));
         }
         if done.is_ready() {
             let heads = framing.heads();
@@ -354,7 +411,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         let (client, accepted) = tokio::join!(TcpStream::connect(addr), listener.accept());
-        let (client, (mut peer, ..)) = (client.expect("accepted"), Peer::client(accepted.expect("one").0));
+        let (client, (mut peer, ..)) =
+            (client.expect("accepted"), Peer::client(accepted.expect("one").0, Looks::from_now()));
         let (mut bytes, late) = ([0; 99], HEAD_PATIENCE - Duration::from_millis(99));
         assert!(timeout(late, peer.read(&mut bytes)).await.is_err(), "nothing has come");
         client.try_write(b"GET / HTTP/1.1\r\n\r\nGET").expect("written");
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -3,12 +3,14 @@
 //! Anyone may connect. What is no proper request of the application's goes no further: an upstream would
 //! answer it with an error, and the module would book that as the upstream's own.
 
+use crate::accept::AcceptQueue;
 use crate::answer::AnswerStream;
 use crate::bodies::{BodyError, Intake, RequestBody};
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::handle::{Answer, Handle, Inbound};
-use crate::leaving::{End, RequestEnd};
+use crate::heartbeat::{Heartbeat, Looks};
+use crate::leaving::{End, Ended, RequestEnd};
 use crate::life::{Life, Stage};
 use crate::metrics::{Ending, Metrics, Ticket};
 use crate::peer::{Heads, Peer, Socket};
@@ -118,13 +120,14 @@
     /// No more connections are accepted.
     stopped: watch::Sender<bool>,
     budget: Budget,
+    heartbeat: Heartbeat,
 }
 
 /// A client's connection, as its requests see it.
 struct Connection {
     heads: Heads,
-    socket: Socket,
-    end: End,
+    socket: Arc<Socket>,
+    end: Arc<End>,
     /// Told once an answer on it can't be finished: it has to close.
     cut: Notify,
     /// The end of the connection is the end of the answer on it.
@@ -133,7 +136,10 @@
 
 impl Connection {
     fn new(heads: Heads, socket: Socket) -> Connection {
-        let (end, cut, ends_by_close) = Default::default();
+        let socket = Arc::new(socket);
+        let asked = socket.clone();
+        let end = Arc::new(End::new(move || asked.unseen_end()));
+        let (cut, ends_by_close) = Default::default();
         Connection { heads, socket, end, cut, ends_by_close }
     }
 
@@ -156,17 +162,23 @@
 
     /// Whether the client is there, for a request whose last byte has just been read.
     fn end_of_request(&self) -> RequestEnd {
-        if self.socket.has_ended() {
-            self.end.note();
+        let has_ended = self.socket.has_ended();
+        if has_ended {
+            self.note_end();
         }
-        self.end.of_request()
+        self.end.of_request(has_ended)
+    }
+
+    /// Its client has ended, by what its socket tells.
+    fn note_end(&self) {
+        self.end.note(self.socket.end().unwrap_or(Ended::Sending(Instant::now())));
     }
 }
 
 impl Server {
     pub fn new(
         config: Arc<Config>, driver: Handle, life: Arc<Life>, metrics: Arc<Metrics>, budget: Budget,
-        most: usize,
+        most: usize, heartbeat: Heartbeat,
     ) -> Arc<Server> {
         Arc::new(Server {
             config,
@@ -183,6 +195,7 @@
             accepted: watch::Sender::new(Instant::now()),
             stopped: watch::Sender::new(false),
             budget,
+            heartbeat,
         })
     }
 
@@ -211,31 +224,33 @@
         self.connections() == 0
     }
 
-    pub async fn listen(self: Arc<Self>, listener: TcpListener) {
+    /// Accepts connections, of which none had come by then, until it is stopped.
+    pub async fn listen(self: Arc<Self>, listener: TcpListener, none_by: Instant) {
         let over = async {
             self.stopped().await;
             sleep(STOP_GRACE).await;
         };
         tokio::select! {
             biased;
-            () = self.take(&listener) => {}
+            () = self.take(&listener, none_by) => {}
             () = over => {}
         }
     }
 
-    async fn take(self: &Arc<Self>, listener: &TcpListener) {
+    async fn take(self: &Arc<Self>, listener: &TcpListener, none_by: Instant) {
         let mut failing = false;
+        let mut queue = AcceptQueue::new(listener, self.heartbeat.clone(), none_by);
         loop {
             let permit = self.permit().await;
             let accepted = tokio::select! {
                 biased;
-                accepted = listener.accept() => accepted,
+                accepted = queue.accept() => accepted,
                 () = self.stopped_with_none_to_accept() => return,
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok((stream, looks)) => {
                     failing = false;
-                    self.begin(stream, permit);
+                    self.begin(stream, looks, permit);
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => {
@@ -258,12 +273,12 @@
     }
 
     /// Serves a connection until it ends.
-    fn begin(self: &Arc<Self>, stream: TcpStream, permit: Option<OwnedSemaphorePermit>) {
+    fn begin(self: &Arc<Self>, stream: TcpStream, looks: Looks, permit: Option<OwnedSemaphorePermit>) {
         self.accepted.send_replace(Instant::now());
         self.open.fetch_add(1, Ordering::Relaxed);
         let server = self.clone();
         tokio::spawn(async move {
-            server.clone().serve(stream).await;
+            server.clone().serve(stream, looks).await;
             server.open.fetch_sub(1, Ordering::Relaxed);
             drop(permit);
         });
@@ -291,11 +306,11 @@
         self.evict_silent.notified().await;
     }
 
-    async fn serve(self: Arc<Self>, stream: TcpStream) {
+    async fn serve(self: Arc<Self>, stream: TcpStream, looks: Looks) {
         // Without it answers are merely slower.
         drop(stream.set_nodelay(true));
         let (used, begun, since) = (AtomicBool::new(false), Notify::new(), Instant::now());
-        let (peer, heads, socket) = Peer::client(stream);
+        let (peer, heads, socket) = Peer::client(stream, looks);
         let open = Arc::new(Connection::new(heads, socket));
         let service = service_fn(|request| {
             let newcomer = (!used.swap(true, Ordering::Relaxed)).then_some(since);
@@ -333,7 +348,7 @@
                 }
                 () = open.socket.ended(), if !ended => {
                     ended = true;
-                    open.end.note();
+                    open.note_end();
                     continue;
                 }
                 Ok(()) = life.changed() => if !life.borrow().close_all { continue },
@@ -405,6 +420,12 @@
             RequestBody::Open(upload) => Some(upload.clone()),
         };
         let end = inbound.outbound.end.clone();
+        if !end.lets_begin() {
+            let (call, unread) = (inbound.outbound.headers.get("x-call-id"), inbound.since.elapsed());
+            tracing::info!(?call, ?unread, "refused: its client had ended before it was read");
+            self.metrics.count_left_unread();
+            return worded(Answer::Refused(None), ticket, on);
+        }
         let left = async {
             let Some(upload) = &upload else { return end.left().await };
             // Until then the end may lie behind the request's last byte.
@@ -466,8 +487,8 @@
             .read(|bytes| self.budget.take(bytes))
             .await
             .map_err(improper)?;
-        // A client's time runs from its last byte.
-        let since = Instant::now();
+        // A client's time runs from its last byte, whenever that is read.
+        let since = on.heads.arrived_at();
         let end = on.end_of_request();
         let answer_by = self.life.now().answer_by;
         let budget = answer_by.map_or(budget, |by| budget.min(by.saturating_duration_since(since)));
@@ -618,12 +639,20 @@
         for place_is_wanted in [false, true] {
             let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
             let (life, metrics) = (Arc::new(Life::new()), Metrics::new(&[]));
-            let server = Server::new(config, Handle::new().0, life.clone(), metrics, Budget::new(0), 4);
+            let server = Server::new(
+                config,
+                Handle::new().0,
+                life.clone(),
+                metrics,
+                Budget::new(0),
+                4,
+                Heartbeat::new(),
+            );
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let addr = listener.local_addr().expect("an address");
             let (client, accepted) = tokio::join!(TcpStream::connect(addr), listener.accept());
             let (client, accepted) = (client.expect("accepted"), accepted.expect("one").0);
-            let mut serving = Box::pin(server.clone().serve(accepted));
+            let mut serving = Box::pin(server.clone().serve(accepted, Looks::from_now()));
             let mut turn = async || poll_fn(|context| Poll::Ready(serving.as_mut().poll(context))).await;
             assert!(turn().await.is_pending());
             advance(SILENCE).await;
@@ -650,10 +679,10 @@
     async fn who_has_come_unseen_as_the_listening_ends_is_accepted() {
         let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
         let (life, metrics) = (Arc::new(Life::new()), Metrics::new(&[]));
-        let server = Server::new(config, Handle::new().0, life, metrics, Budget::new(0), 4);
+        let server = Server::new(config, Handle::new().0, life, metrics, Budget::new(0), 4, Heartbeat::new());
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
-        let mut listening = Box::pin(server.clone().listen(listener));
+        let mut listening = Box::pin(server.clone().listen(listener, Instant::now()));
         assert!(poll_fn(|context| Poll::Ready(listening.as_mut().poll(context))).await.is_pending());
         // The runtime does not look at the sockets in between.
         let _client = std::net::TcpStream::connect(addr).expect("a place in the queue");
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -222,10 +222,6 @@
         Upstreams { idle, learned, vain, open, most, keep, connect_timeout, metrics, budget }
     }
 
-    pub fn metrics(&self) -> &Metrics {
-        &self.metrics
-    }
-
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod names;
 mod route;
 pub mod settings;
+pub mod staleness;
 mod state;
 
 pub use state::Balancer;
--- /dev/null
+++ b/src/staleness.rs
@@ -0,0 +1,91 @@
+//! How long something that is read now has lain unread, and what may still begin for a client that has ended.
+//!
+//! A process that was stopped, or had no processor, and a connection that waited to be accepted, have requests and ends of
+//! clients that came long before they are read. The client's time runs from when they came.
+
+use std::time::Duration;
+
+/// Between two looks of the event loop at its sockets lies less than this, unless the process was held up.
+pub const ORDINARY_GAP: Duration = Duration::from_millis(50);
+
+/// No attempt begins later than this after its client's end: less than the 0.1 s that are allowed, since it has yet to be
+/// written then.
+pub const BEGINS_AFTER_END: Duration = Duration::from_millis(80);
+
+/// What is known of how long ago something came that is read now.
+#[derive(Clone, Copy, Debug)]
+pub struct Unread {
+    /// Since it was last known not to have come.
+    pub at_most: Duration,
+    /// Since it came, where the system tells.
+    pub told: Option<Duration>,
+}
+
+impl Unread {
+    /// How long ago bytes came. Where nothing tells they are held to be new: their client's time is not to be cut short
+    /// for a guess.
+    pub fn age_of_bytes(self) -> Duration {
+        if self.at_most < ORDINARY_GAP {
+            return Duration::ZERO;
+        }
+        self.told.unwrap_or_default().min(self.at_most)
+    }
+
+    /// How long ago a client ended its sending. Where nothing tells it may have been at any time since it was known not
+    /// to have: nothing is to begin for a client that may have left.
+    pub fn age_of_end(self) -> Duration {
+        self.told.unwrap_or(self.at_most).min(self.at_most)
+    }
+}
+
+/// How a client has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClientEnd {
+    /// It sends nothing more, since then: it has closed, or waits for its answer.
+    Sending(Duration),
+    /// It has reset its connection.
+    Reset,
+}
+
+impl ClientEnd {
+    /// May an attempt begin for it now?
+    pub fn lets_begin(self) -> bool {
+        matches!(self, ClientEnd::Sending(ago) if ago <= BEGINS_AFTER_END)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    #[test]
+    fn what_the_system_tells_counts_up_to_what_is_possible() {
+        let unread = |at_most, told| Unread { at_most: ms(at_most), told };
+        for (at_most, told, bytes, end) in [
+            // The event loop has looked at its sockets just before: whatever the system says, they are new.
+            (30, Some(ms(9_000)), 0, 30),
+            (30, None, 0, 30),
+            (30, Some(ms(4)), 0, 4),
+            (500, Some(ms(460)), 460, 460),
+            (500, Some(ms(2)), 2, 2),
+            (500, Some(ms(9_000)), 500, 500),
+            (500, None, 0, 500),
+        ] {
+            let unread = unread(at_most, told);
+            assert_eq!(unread.age_of_bytes(), ms(bytes), "{unread:?}");
+            assert_eq!(unread.age_of_end(), ms(end), "{unread:?}");
+        }
+    }
+
+    #[test]
+    fn nothing_begins_for_who_has_reset_or_ended_long_ago() {
+        assert!(ClientEnd::Sending(ms(0)).lets_begin());
+        assert!(ClientEnd::Sending(BEGINS_AFTER_END).lets_begin());
+        assert!(!ClientEnd::Sending(BEGINS_AFTER_END + ms(1)).lets_begin());
+        assert!(!ClientEnd::Reset.lets_begin());
+    }
+}
