A request is not written where what was decided about it does not hold any more

An attempt is decided on in one task and written by its connection's in a later turn. A process that is stopped in between wrote it as it went on: for a client that had left meanwhile, with a deadline that was too long by the stop, after the window of a keyed repeat, to an upstream that had begun to drain.

The connection asks right before the first byte of a request whether it still may begin; where not, nothing of it is written, the connection closes, and the attempt goes on as one that was never sent. Bodies that are not held are left out, since what has been taken of them could not be sent again.

The new test failed before: the request was read by its upstream 0.46 s after it was decided on, its client gone.

--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -30,6 +30,7 @@
 mod system;
 mod tcp_info;
 mod upstream;
+mod write_gate;
 
 use bans::Bans;
 use budget::Budget;
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -7,6 +7,7 @@
 use crate::leaving::Ended;
 use crate::system::retry_interrupted;
 use crate::tcp_info::{self, PeerEnd};
+use crate::write_gate::WriteGate;
 use micapier::staleness::{ORDINARY_GAP, Unread};
 use socket2::SockRef;
 use std::future::poll_fn;
@@ -235,28 +236,30 @@
     writing: Limit,
     write_blocked: Arc<AtomicBool>,
     reading: Option<Patience>,
+    /// Asked before each write.
+    gate: Arc<WriteGate>,
     /// Begun once nothing more is written.
     linger: Linger,
 }
 
 impl Peer {
-    pub fn upstream(stream: TcpStream) -> Peer {
-        Peer::new(Arc::new(stream), None)
+    pub fn upstream(stream: TcpStream, gate: Arc<WriteGate>) -> Peer {
+        Peer::new(Arc::new(stream), None, gate)
     }
 
     pub fn client(stream: TcpStream, looks: Looks) -> (Peer, Heads, Socket) {
         let (stream, heads) = (Arc::new(stream), Heads::new(looks.clone()));
         let first_by = Some(Instant::now() + HEAD_PATIENCE);
         let reading = Patience { heads: heads.clone(), limit: Limit::default(), first_by };
-        let peer = Peer::new(stream.clone(), Some(reading));
+        let peer = Peer::new(stream.clone(), Some(reading), Arc::default());
         let (write_blocked, open_at) = (peer.write_blocked.clone(), Mutex::new(looks.latest()));
         let socket = Socket { stream, write_blocked, looks, open_at };
         (peer, heads, socket)
     }
 
-    fn new(stream: Arc<TcpStream>, reading: Option<Patience>) -> Peer {
+    fn new(stream: Arc<TcpStream>, reading: Option<Patience>, gate: Arc<WriteGate>) -> Peer {
         let (writing, write_blocked, linger) = Default::default();
-        Peer { stream, writing, write_blocked, reading, linger }
+        Peer { stream, writing, write_blocked, reading, gate, linger }
     }
 
     /// Reads what there is, up to so much; nothing at the end. Tells when the socket itself says that there is nothing.
@@ -291,6 +294,9 @@
                 Poll::Ready(Err(error)) => break Poll::Ready(Err(error)),
                 Poll::Pending => break Poll::Pending,
             }
+            if !self.gate.passes() {
+                break Poll::Ready(Err(io::Error::other("what was decided does not hold any more")));
+            }
             match retry_interrupted(|| write(&self.stream)) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 written => break Poll::Ready(written),
@@ -395,7 +401,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         let (client, accepted) = tokio::join!(TcpStream::connect(addr), listener.accept());
-        let (client, mut peer) = (client.expect("accepted"), Peer::upstream(accepted.expect("one").0));
+        let (client, mut peer) =
+            (client.expect("accepted"), Peer::upstream(accepted.expect("one").0, Arc::default()));
         let mut bytes = [0; 99];
         client.try_write(b"part").expect("written");
         assert_eq!(peer.read(&mut bytes).await.expect("some"), 4);
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -11,6 +11,7 @@
 use crate::metrics::Metrics;
 use crate::peer::Peer;
 use crate::system::{is_local, read_what_has_come};
+use crate::write_gate::WriteGate;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
@@ -19,6 +20,7 @@
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use micapier::api::Outcome;
+use micapier::staleness::DECISION_HOLDS;
 use serde_json::Value;
 use std::collections::HashMap;
 use std::io;
@@ -63,6 +65,7 @@
     pub sender: SendRequest<B>,
     opened: Instant,
     task: AbortHandle,
+    gate: Arc<WriteGate>,
 }
 
 impl<B> TcpConnection<B>
@@ -77,8 +80,9 @@
         let connected = socket.map_err(OpenError::Ours)?.connect(addr).await;
         let stream = connected.map_err(OpenError::of_connect)?;
         stream.set_nodelay(true).map_err(OpenError::Theirs)?;
-        let mut http = http1::Builder::new();
-        let handshake = http.max_buf_size(BUFFER).handshake(TokioIo::new(Peer::upstream(stream)));
+        let (mut http, gate) = (http1::Builder::new(), Arc::<WriteGate>::default());
+        let peer = Peer::upstream(stream, gate.clone());
+        let handshake = http.max_buf_size(BUFFER).handshake(TokioIo::new(peer));
         let (sender, connection) =
             handshake.await.map_err(|error| OpenError::Theirs(io::Error::other(error)))?;
         let task = tokio::spawn(async move {
@@ -87,7 +91,7 @@
             drop(place);
         });
         let (opened, task) = (Instant::now(), task.abort_handle());
-        Ok(TcpConnection { sender, opened, task })
+        Ok(TcpConnection { sender, opened, task, gate })
     }
 
     /// Back once its socket has closed.
@@ -165,6 +169,15 @@
     }
 }
 
+/// Whether what was decided now about an attempt holds when it is written: the time that it tells its upstream, that its
+/// client is there, and that its upstream takes new ones.
+fn still_holds(
+    target: &Arc<Target>, outbound: &Outbound, begin_by: Instant, decided_at: Instant,
+) -> impl Fn() -> bool + Send + 'static {
+    let (target, end, by) = (target.clone(), outbound.end.clone(), begin_by.min(decided_at + DECISION_HOLDS));
+    move || Instant::now() < by && target.open.load(Ordering::Relaxed) && end.lets_begin()
+}
+
 /// Waits for news of how much has been sent; for ever where a body is held.
 async fn sent(of: &mut Option<watch::Receiver<Sent>>) -> Sent {
     if let Some(of) = of
@@ -360,6 +373,11 @@
                 let idle_since = now.checked_sub(pooled.idle_for).unwrap_or(now);
                 return self.keep(target.addr, pooled, idle_since);
             }
+            // What has been read of a body that is not held could not be sent again.
+            if matches!(outbound.body, RequestBody::Held(_)) {
+                let may_be_written = still_holds(&target, &outbound, begin_by.unwrap_or(by).min(by), now);
+                pooled.connection.gate.begin_while(may_be_written);
+            }
             let answer = {
                 let answer = self.answer(&mut pooled, self.request(&outbound, by - now));
                 tokio::pin!(answer);
@@ -461,6 +479,7 @@
                 // Given back unwritten: it never left. Else it may have.
                 let unsent = error.take_message().map(|message| message.into_body().forget()).is_some();
                 let outcome = match pooled.idle_for {
+                    _ if pooled.connection.gate.has_stopped() => Outcome::Moot,
                     _ if !unsent => Outcome::Reset,
                     Duration::ZERO => Outcome::ConnectFailed,
                     _ => Outcome::Moot,
@@ -540,6 +559,7 @@
 #[cfg(test)]
 pub mod tests {
     use super::*;
+    use crate::leaving::End;
     use std::future::poll_fn;
     use std::task::Poll;
     use tokio::net::{TcpListener, TcpStream};
@@ -564,22 +584,26 @@
     async fn begin(
         upstreams: &Upstreams, addr: SocketAddr, open: bool, terms: Terms, wanted: bool,
     ) -> UnboundedReceiver<Step> {
-        let outbound = Outbound {
-            method: Method::POST,
-            uri: Uri::from_static("/api"),
-            headers: HeaderMap::new(),
-            body: RequestBody::Held(Bytes::new()),
-            end: RequestEnd::never(),
-        };
+        let outbound = outbound(RequestEnd::never());
         if !wanted {
             outbound.end.settle();
         }
         let (told, steps) = mpsc::unbounded_channel();
         let report = move |step| assert!(told.send(step).is_ok());
-        upstreams.clone().attempt(target(addr, open), Arc::new(outbound), terms, Arc::new(report)).await;
+        upstreams.clone().attempt(target(addr, open), outbound, terms, Arc::new(report)).await;
         steps
     }
 
+    fn outbound(end: RequestEnd) -> Arc<Outbound> {
+        Arc::new(Outbound {
+            method: Method::POST,
+            uri: Uri::from_static("/api"),
+            headers: HeaderMap::new(),
+            body: RequestBody::Held(Bytes::new()),
+            end,
+        })
+    }
+
     async fn attempt(
         upstreams: &Upstreams, addr: SocketAddr, open: bool, begin_by: Option<Instant>, wanted: bool,
     ) -> Outcome {
@@ -635,6 +659,43 @@
         assert_eq!(read(&listener.accept().await.expect("a connection").0).await, "");
     }
 
+    /// Guards against a request that goes out long after it was decided on, since the process was held up in between: its
+    /// client may have left, its time be over, its upstream drain.
+    #[tokio::test(start_paused = true)]
+    async fn what_was_decided_before_a_hold_up_is_not_written_after_it() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let (to, addr) = (upstreams(4, LONG), listener.local_addr().expect("an address"));
+        let pooled = to.connection(addr, Instant::now() + LONG).await.expect("a connection");
+        let rested = Instant::now().checked_sub(REST).expect("the machine has run for longer");
+        to.keep(addr, pooled, rested);
+        let accepted = listener.accept().await.expect("a connection").0;
+        let (told, mut steps) = mpsc::unbounded_channel();
+        let report = move |step| assert!(told.send(step).is_ok());
+        // In the turn in which its client's end is asked about, a request is handed to its connection.
+        let asked = Arc::new(AtomicUsize::new(0));
+        let asking = asked.clone();
+        let ask = move || {
+            asking.fetch_add(1, Ordering::Relaxed);
+            None
+        };
+        let outbound = outbound(Arc::new(End::new(ask)).of_request(false));
+        let attempt = to.clone().attempt(target(addr, true), outbound.clone(), terms(LONG), Arc::new(report));
+        let mut attempt = Box::pin(attempt);
+        loop {
+            assert!(poll_fn(|context| Poll::Ready(attempt.as_mut().poll(context))).await.is_pending());
+            if asked.load(Ordering::Relaxed) > 0 {
+                break;
+            }
+            yield_now().await;
+        }
+        outbound.end.settle();
+        advance(Duration::from_millis(460)).await;
+        attempt.await;
+        assert!(matches!(steps.recv().await, Some(Step::Ended(Outcome::Moot, _))));
+        drop(to);
+        assert_eq!(read(&accepted).await, "");
+    }
+
     /// Nobody accepts there: since the backlog is full, no further connection comes up.
     async fn deaf() -> (TcpListener, Vec<TcpStream>, SocketAddr) {
         let socket = TcpSocket::new_v4().expect("a socket");
