An answer that came while the process was held up comes before the times that fell due

After a stop all timers are due at once, while answers lie unread in the sockets. An attempt's time and the driver's timers were looked at first, and an answer takes several turns of the runtime from its connection to the driver: head, body and end one by one.

Where a timer is heard of 10 ms or more after it fell due, attempts and the driver now let the runtime read what has come first; the same serves answers whose length is not known.

--- a/src/bin/juniperspoke/answer.rs
+++ b/src/bin/juniperspoke/answer.rs
@@ -4,7 +4,7 @@
 use crate::budget::Share;
 use crate::metrics::{Ending, Ticket};
 use crate::peer::{Limit, STALL};
-use crate::system::read_what_has_come;
+use crate::system::{read_what_has_come, ready_by_what_has_come};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::HeaderValue;
@@ -36,15 +36,10 @@
 
 /// Waits until then. What has come by then counts, though a process that was held up reads it only after.
 async fn wait_until<F: Future + Unpin>(until: Instant, mut future: F) -> Option<F::Output> {
-    if let Ok(output) = timeout_at(until, &mut future).await {
-        return Some(output);
+    match timeout_at(until, &mut future).await {
+        Ok(output) => Some(output),
+        Err(_) => ready_by_what_has_come(future).await,
     }
-    read_what_has_come().await;
-    poll_fn(|context| match Pin::new(&mut future).poll(context) {
-        Poll::Ready(output) => Poll::Ready(Some(output)),
-        Poll::Pending => Poll::Ready(None),
-    })
-    .await
 }
 
 /// The next piece; `None` at the end.
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -6,6 +6,7 @@
 use crate::handle::{Answer, Handle, Happening, Inbound};
 use crate::list::News;
 use crate::starts::Starts;
+use crate::system::{is_late, read_all_that_has_come};
 use crate::upstream::{Outbound, Served, Step, Target, Terms, Upstreams};
 use micapier::Balancer;
 use micapier::api::*;
@@ -147,8 +148,12 @@
         self.handle.set_told(!beside);
         self.handle_event(Event::List(cached));
         loop {
+            // Guards against taking for hung what has answered while the process was held up.
+            if self.first_due().is_some_and(is_late) {
+                read_all_that_has_come().await;
+            }
             self.fire();
-            let next = self.timers.peek().map(|Reverse((at, _))| *at);
+            let next = self.first_due();
             let due = async {
                 match next {
                     Some(at) => sleep_until(at).await,
@@ -166,18 +171,21 @@
         }
     }
 
+    fn first_due(&self) -> Option<Instant> {
+        self.timers.peek().map(|Reverse((at, _))| *at)
+    }
+
     /// Guards against holding to be late, or hung, what has been told of and only not heard yet.
     fn fire(&mut self) {
         let now = Instant::now();
-        let first_due = self.timers.peek().map(|Reverse((at, _))| *at);
-        let is_due = first_due.is_some_and(|at| at <= now);
+        let is_due = self.first_due().is_some_and(|at| at <= now);
         let told = if is_due { self.from.len() } else { 0 };
         for _ in 0..told {
             if let Ok(happening) = self.from.try_recv() {
                 self.happen(happening);
             }
         }
-        while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+        while self.first_due().is_some_and(|at| at <= now) {
             match self.timers.pop() {
                 Some(Reverse((_, Due::Module(timer)))) => self.handle_event(Event::Timer(timer)),
                 Some(Reverse((_, Due::Backstop(id)))) => self.backstop(id),
--- a/src/bin/juniperspoke/system.rs
+++ b/src/bin/juniperspoke/system.rs
@@ -1,7 +1,23 @@
 //! What the system and the runtime have to say: errors of system calls, and what has come and is not read yet.
 
+use std::future::poll_fn;
 use std::io;
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::Duration;
 use tokio::task::yield_now;
+use tokio::time::Instant;
+
+/// A timer is heard of so late only in a process that was held up, if not for long.
+const TIMER_SLACK: Duration = Duration::from_millis(10);
+/// A whole answer that lies in a socket is read in so many rounds: its head, its body and its end go from its connection
+/// to its attempt one by one.
+const ROUNDS_TO_READ: usize = 4;
+
+/// Was the process held up as this fell due?
+pub fn is_late(due: Instant) -> bool {
+    due.elapsed() >= TIMER_SLACK
+}
 
 /// Gives the runtime the turns that it takes to read what has come: in one it looks at the sockets, in the next it runs
 /// what has something to read.
@@ -10,6 +26,26 @@
     yield_now().await;
 }
 
+/// The output of what waits for something to be read, if all of that has come by now.
+pub async fn ready_by_what_has_come<F: Future + Unpin>(mut future: F) -> Option<F::Output> {
+    for _ in 0..ROUNDS_TO_READ {
+        read_what_has_come().await;
+        let polled = poll_fn(|context| Poll::Ready(Pin::new(&mut future).poll(context))).await;
+        if let Poll::Ready(output) = polled {
+            return Some(output);
+        }
+    }
+    None
+}
+
+/// Lets all that waits for something to be read get on as far as what has come by now allows, and tell of it.
+pub async fn read_all_that_has_come() {
+    // One more, in which the last is told.
+    for _ in 0..=ROUNDS_TO_READ {
+        read_what_has_come().await;
+    }
+}
+
 /// Makes a system call again as often as a signal interrupts it.
 pub fn retry_interrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     loop {
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -10,7 +10,7 @@
 use crate::leaving::RequestEnd;
 use crate::metrics::Metrics;
 use crate::peer::Peer;
-use crate::system::{is_local, read_what_has_come};
+use crate::system::{is_late, is_local, read_what_has_come, ready_by_what_has_come};
 use crate::write_gate::WriteGate;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -402,6 +402,10 @@
                         },
                         () = sleep_until(by) => {
                             by = due();
+                            // Guards against blaming an upstream for an answer that is here and has not been read.
+                            if is_late(by) && let Some(answer) = ready_by_what_has_come(answer.as_mut()).await {
+                                break answer;
+                            }
                             if by <= Instant::now() {
                                 break (Outcome::Timeout, None, None);
                             }
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -10,18 +10,6 @@
 use std::time::{Duration, Instant};
 use world::*;
 
-/// An upstream that answers what it has once the gate is open, and its sidecar.
-fn gated(change: impl FnOnce(&mut Value)) -> (Gate, Upstream, Sidecar) {
-    let gate = Gate::default();
-    let of = gate.clone();
-    let reply = move |_: &_| {
-        of.pass();
-        ok("served")
-    };
-    let (upstream, sidecar) = answered(reply, change);
-    (gate, upstream, sidecar)
-}
-
 /// With deadlines so short, SIGKILL may come less than a second after SIGTERM.
 fn short(config: &mut Value) {
     for class in config["settings"]["requestClasses"].as_array_mut().expect("classes") {
--- a/tests/stale_requests.rs
+++ b/tests/stale_requests.rs
@@ -179,6 +179,20 @@
     assert_eq!(Answer::read(&mut client).whole(), (200, "served"));
 }
 
+/// Guards against telling a client that its request failed, or sending it elsewhere, while its answer is there unread.
+#[test]
+fn answers_that_came_while_the_process_was_stopped_are_passed_on() {
+    let (gate, upstream, sidecar) = gated(alone);
+    let calls = CLASSES.map(|(class, method)| call(class, BUDGET.as_secs_f64()).method(method));
+    let mut waiting = calls.map(|call| sidecar.send(&call));
+    upstream.wait_for("both requests", |state| state.requests.len() == CLASSES.len());
+    sidecar.pause();
+    gate.open();
+    sleep(HOLD_UP);
+    sidecar.signal(Signal::SIGCONT);
+    waiting.iter_mut().for_each(|client| assert_eq!(Answer::read(client).whole(), (200, "served")));
+}
+
 /// Incident 906fe8: servers whose answers came while the process was stopped were ejected as it went on.
 #[test]
 fn servers_whose_answers_came_while_the_process_was_stopped_are_not_blamed() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -684,6 +684,18 @@
     (upstream, sidecar)
 }
 
+/// An upstream that answers what it has once the gate is open, and its sidecar.
+pub fn gated(change: impl FnOnce(&mut Value)) -> (Gate, Upstream, Sidecar) {
+    let gate = Gate::default();
+    let of = gate.clone();
+    let reply = move |_: &_| {
+        of.pass();
+        ok("served")
+    };
+    let (upstream, sidecar) = answered(reply, change);
+    (gate, upstream, sidecar)
+}
+
 /// With lists pushed and asked for, and with a discovery that refuses calls and one that leaves them unanswered.
 pub fn each_outage(play: impl Fn(&'static str, bool) + Sync) {
     let all = [("pushed", false), ("pushed", true), ("on_request", false), ("on_request", true)];
