Errors of single connections keep no client waiting to be accepted

Callers whose connections waited behind failed calls of accept were refused, or left, and before were sent on after they had left: each failed call waited 20 ms, whatever its error, so that where every second one fails 50 clients a second are accepted.

An error of one connection is not waited for, 16 in a row at most; a shortage is waited for from 1 ms on, doubled up to the 20 ms of before. A shortage that is over by the next call closes no idle connection any more. Counted as accept_errors; logged as the second error in a row.

The new test plays 100 clients with 0.8 s each against the real program, in which a preloaded library makes every second accept4 fail with errors that Linux documents, of both kinds.

--- a/src/bin/juniperspoke/accept.rs
+++ b/src/bin/juniperspoke/accept.rs
@@ -1,8 +1,10 @@
 //! Connections of clients that wait to be accepted, perhaps for long.
 
 use crate::heartbeat::{Heartbeat, Looks};
+use crate::system::is_shortage;
 use std::future::poll_fn;
 use std::io;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
@@ -36,3 +38,75 @@
         .await
     }
 }
+
+/// So many errors in a row may be of one connection each. Guards against a listener that can't accept at all: it would be
+/// asked without a pause.
+const AT_ONCE: u32 = 16;
+/// The waits after the first error of a shortage, and after the next ones, each twice the one before.
+const FIRST_WAIT: Duration = Duration::from_millis(1);
+const LONGEST_WAIT: Duration = Duration::from_millis(20);
+
+/// When `accept` is called again after it has failed.
+#[derive(Default)]
+pub struct AcceptErrors {
+    in_a_row: u32,
+    /// After the latest error.
+    wait: Duration,
+}
+
+impl AcceptErrors {
+    /// One has been accepted.
+    pub fn over(&mut self) {
+        *self = AcceptErrors::default();
+    }
+
+    /// Another error: how long to wait. Who waits to be accepted has no part in it.
+    pub fn wait_after(&mut self, error: &io::Error) -> Duration {
+        self.in_a_row += 1;
+        if !is_shortage(error) && self.in_a_row <= AT_ONCE {
+            return Duration::ZERO;
+        }
+        self.wait = (2 * self.wait).clamp(FIRST_WAIT, LONGEST_WAIT);
+        self.wait
+    }
+
+    /// Does the machine lack something, and not for a moment alone?
+    pub fn is_lasting_shortage(&self, error: &io::Error) -> bool {
+        is_shortage(error) && self.in_a_row > 1
+    }
+
+    /// Is the latest the second in a row?
+    pub fn has_come_again(&self) -> bool {
+        self.in_a_row == 2
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn errors_of_one_connection_keep_nobody_waiting_and_none_is_asked_about_without_a_pause() {
+        let aborted = io::Error::from_raw_os_error(libc::ECONNABORTED);
+        let mut errors = AcceptErrors::default();
+        for _ in 0..AT_ONCE {
+            assert_eq!(errors.wait_after(&aborted), Duration::ZERO);
+        }
+        assert_eq!(errors.wait_after(&aborted), FIRST_WAIT);
+        errors.over();
+        assert_eq!(errors.wait_after(&aborted), Duration::ZERO);
+    }
+
+    #[test]
+    fn a_shortage_is_waited_for_ever_longer_up_to_a_bound() {
+        let shortage = io::Error::from_raw_os_error(libc::EMFILE);
+        let mut errors = AcceptErrors::default();
+        assert_eq!(errors.wait_after(&shortage), FIRST_WAIT);
+        assert!(!errors.is_lasting_shortage(&shortage), "it may be over");
+        assert_eq!(errors.wait_after(&shortage), 2 * FIRST_WAIT);
+        assert!(errors.is_lasting_shortage(&shortage));
+        (0..20).for_each(|_| assert!(errors.wait_after(&shortage) <= LONGEST_WAIT));
+        errors.over();
+        assert_eq!(errors.wait_after(&shortage), FIRST_WAIT);
+    }
+}
--- a/src/bin/juniperspoke/heartbeat.rs
+++ b/src/bin/juniperspoke/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Tells when the event loop last looked at its sockets: a process that is stopped, or has no processor, does not.
 
-use crate::metrics::Metrics;
+use crate::metrics::{Count, Metrics};
 use micapier::staleness::ORDINARY_GAP;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -35,7 +35,7 @@
             let late = now.saturating_duration_since(due);
             if late >= ORDINARY_GAP {
                 tracing::info!(?late, "the process was held up");
-                metrics.count_held_up();
+                metrics.count(Count::HeldUp);
             }
             self.note(now);
         }
--- a/src/bin/juniperspoke/metrics.rs
+++ b/src/bin/juniperspoke/metrics.rs
@@ -25,22 +25,41 @@
 
 const CUTS: [(Cut, &str); 3] = [(Cut::Broken, "broken"), (Cut::Silent, "silent"), (Cut::TooLong, "too_long")];
 
+/// What is counted beside the requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Count {
+    /// An attempt has been written whole to an upstream.
+    Attempt,
+    /// The event loop has looked at its sockets much later than it had to.
+    HeldUp,
+    /// A request has been refused, since its client had ended before it was read.
+    LeftUnread,
+    /// A call of `accept` has failed.
+    AcceptError,
+}
+
+const COUNTS: [(Count, &str); 4] = [
+    (Count::Attempt, "backend_calls"),
+    (Count::HeldUp, "held_up"),
+    (Count::LeftUnread, "left_unread"),
+    (Count::AcceptError, "accept_errors"),
+];
+
 /// All that is counted. Each count is raised in one place, where the thing happens.
 pub struct Metrics {
     classes: Vec<(String, Calls)>,
-    attempts: AtomicU64,
     /// Answers that were passed on and not to their end, by [`Cut`].
     cuts: [AtomicU64; CUTS.len()],
-    held_up: AtomicU64,
-    left_unread: AtomicU64,
+    /// By [`Count`].
+    counts: [AtomicU64; COUNTS.len()],
     inflight: AtomicU64,
 }
 
 impl Metrics {
     pub fn new(classes: &[String]) -> Arc<Metrics> {
         let classes = classes.iter().map(|name| (name.clone(), Calls::default())).collect();
-        let (attempts, cuts, held_up, left_unread, inflight) = Default::default();
-        Arc::new(Metrics { classes, attempts, cuts, held_up, left_unread, inflight })
+        let (cuts, counts, inflight) = Default::default();
+        Arc::new(Metrics { classes, cuts, counts, inflight })
     }
 
     /// A request of this class has been taken.
@@ -49,9 +68,8 @@
         Ticket { metrics: self.clone(), class, ending: Ending::Failure }
     }
 
-    /// An attempt has been written whole to an upstream.
-    pub fn count_attempt(&self) {
-        self.attempts.fetch_add(1, Ordering::Relaxed);
+    pub fn count(&self, what: Count) {
+        self.counts[what as usize].fetch_add(1, Ordering::Relaxed);
     }
 
     /// An answer has been cut while it was passed on.
@@ -59,16 +77,6 @@
         self.cuts[cut as usize].fetch_add(1, Ordering::Relaxed);
     }
 
-    /// The process has gone on much later than it had to.
-    pub fn count_held_up(&self) {
-        self.held_up.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// A request has been refused, since its client had ended before it was read.
-    pub fn count_left_unread(&self) {
-        self.left_unread.fetch_add(1, Ordering::Relaxed);
-    }
-
     /// The figures as operators read them: `name:value|c` for a count, `|g` for what is now.
     pub fn text(&self, hosts: Hosts) -> String {
         let mut text = String::new();
@@ -81,12 +89,12 @@
                 line(&format!("calls.{class}.{name}"), count.load(Ordering::Relaxed), 'c');
             }
         }
-        line("backend_calls", self.attempts.load(Ordering::Relaxed), 'c');
+        for ((_, name), count) in COUNTS.iter().zip(&self.counts) {
+            line(name, count.load(Ordering::Relaxed), 'c');
+        }
         for ((_, name), count) in CUTS.iter().zip(&self.cuts) {
             line(&format!("answers_cut.{name}"), count.load(Ordering::Relaxed), 'c');
         }
-        line("held_up", self.held_up.load(Ordering::Relaxed), 'c');
-        line("left_unread", self.left_unread.load(Ordering::Relaxed), 'c');
         line("inflight", self.inflight.load(Ordering::Relaxed), 'g');
         line("hosts_listed", hosts.listed as u64, 'g');
         line("hosts_down", hosts.avoided as u64, 'g');
@@ -135,17 +143,17 @@
                 None => drop(ticket),
             }
         }
-        metrics.count_attempt();
-        metrics.count_held_up();
-        metrics.count_left_unread();
+        COUNTS.iter().for_each(|(what, _)| metrics.count(*what));
         CUTS.iter().for_each(|(cut, _)| metrics.count_cut(*cut));
         metrics.count_cut(Cut::Silent);
         let expected = "edge_balancer.calls.pay.success:1|c\nedge_balancer.calls.pay.busy:1|c\n\
             edge_balancer.calls.pay.failure:0|c\nedge_balancer.calls.look.success:1|c\n\
             edge_balancer.calls.look.busy:0|c\nedge_balancer.calls.look.failure:1|c\n\
-            edge_balancer.backend_calls:1|c\nedge_balancer.answers_cut.broken:1|c\n\
+            edge_balancer.backend_calls:1|c\nedge_balancer.held_up:1|c\n\
+            edge_balancer.left_unread:1|c\nedge_balancer.accept_errors:1|c\n\
+            edge_balancer.answers_cut.broken:1|c\n\
             edge_balancer.answers_cut.silent:2|c\nedge_balancer.answers_cut.too_long:1|c\n\
-            edge_balancer.held_up:1|c\nedge_balancer.left_unread:1|c\nedge_balancer.inflight:0|g\n\
+            edge_balancer.inflight:0|g\n\
             edge_balancer.hosts_listed:7|g\nedge_balancer.hosts_down:2|g\n";
         assert_eq!(metrics.text(hosts), expected);
     }
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -3,7 +3,7 @@
 //! Anyone may connect. What is no proper request of the application's goes no further: an upstream would
 //! answer it with an error, and the module would book that as the upstream's own.
 
-use crate::accept::AcceptQueue;
+use crate::accept::{AcceptErrors, AcceptQueue};
 use crate::answer::AnswerStream;
 use crate::bodies::{BodyError, Intake, RequestBody};
 use crate::budget::Budget;
@@ -12,9 +12,9 @@
 use crate::heartbeat::{Heartbeat, Looks};
 use crate::leaving::{End, Ended, RequestEnd};
 use crate::life::{Life, Stage};
-use crate::metrics::{Ending, Metrics, Ticket};
+use crate::metrics::{Count, Ending, Metrics, Ticket};
 use crate::peer::{Heads, Peer, Socket};
-use crate::system::{is_shortage, read_what_has_come};
+use crate::system::read_what_has_come;
 use crate::upstream::{BUFFER, Outbound};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -39,6 +39,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, watch};
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 /// What speaks of the application's connection, or is written anew, and doesn't go on to upstreams.
@@ -58,8 +59,6 @@
 const ONCE: [&str; 5] = ["x-call-id", "x-call-class", "x-caller", "x-budget", "idempotency-key"];
 /// So many request ids are remembered at least. A copy comes while its original is out or soon after.
 const REMEMBERED: usize = 8_192;
-/// The wait after an accept that failed, as when there are no descriptors left.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 /// One of so many places is kept free for newcomers.
 const SPARE: usize = 16;
 /// Where there is no room, another connection is asked after this time to give way.
@@ -238,7 +237,7 @@
     }
 
     async fn take(self: &Arc<Self>, listener: &TcpListener, none_by: Instant) {
-        let mut failing = false;
+        let mut errors = AcceptErrors::default();
         let mut queue = AcceptQueue::new(listener, self.heartbeat.clone(), none_by);
         loop {
             let permit = self.permit().await;
@@ -249,23 +248,33 @@
             };
             match accepted {
                 Ok((stream, looks)) => {
-                    failing = false;
+                    errors.over();
                     self.begin(stream, looks, permit);
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => {
-                    if !std::mem::replace(&mut failing, true) {
-                        tracing::warn!("accept: {error}");
-                    }
-                    if is_shortage(&error) {
-                        self.evict_idle.notify_one();
-                    }
-                    sleep(ACCEPT_AGAIN).await;
-                }
+                Err(error) => self.wait_after(&mut errors, &error).await,
             }
         }
     }
 
+    /// Waits until it makes sense to accept again.
+    async fn wait_after(&self, errors: &mut AcceptErrors, error: &io::Error) {
+        let wait = errors.wait_after(error);
+        self.metrics.count(Count::AcceptError);
+        if errors.has_come_again() {
+            tracing::warn!(%error, "connections can't be accepted");
+        }
+        if errors.is_lasting_shortage(error) {
+            self.evict_idle.notify_one();
+        }
+        if wait.is_zero() {
+            // Whatever fails, others have their turn.
+            yield_now().await;
+        } else {
+            sleep(wait).await;
+        }
+    }
+
     /// Waits until no more connections are to be accepted, and the runtime has heard of those that have come.
     async fn stopped_with_none_to_accept(&self) {
         self.stopped().await;
@@ -423,7 +432,7 @@
         if !end.lets_begin() {
             let (call, unread) = (inbound.outbound.headers.get("x-call-id"), inbound.since.elapsed());
             tracing::info!(?call, ?unread, "refused: its client had ended before it was read");
-            self.metrics.count_left_unread();
+            self.metrics.count(Count::LeftUnread);
             return worded(Answer::Refused(None), ticket, on);
         }
         let left = async {
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -8,7 +8,7 @@
 use crate::budget::Budget;
 use crate::idle::IdleLimit;
 use crate::leaving::RequestEnd;
-use crate::metrics::Metrics;
+use crate::metrics::{Count, Metrics};
 use crate::peer::Peer;
 use crate::system::{is_late, is_local, read_what_has_come, ready_by_what_has_come};
 use crate::write_gate::WriteGate;
@@ -462,7 +462,7 @@
     /// What is written to an upstream, which is told the time that is left.
     fn request(&self, outbound: &Outbound, left: Duration) -> Request<Outgoing> {
         let metrics = self.metrics.clone();
-        let body = Outgoing::new(outbound.body.clone(), move || metrics.count_attempt());
+        let body = Outgoing::new(outbound.body.clone(), move || metrics.count(Count::Attempt));
         let mut request = Request::new(body);
         *request.method_mut() = outbound.method.clone();
         *request.uri_mut() = outbound.uri.clone();
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -154,3 +154,20 @@
         let _newcomers: Vec<_> = (0..8).map(|_| sidecar.kept()).collect();
     }
 }
+
+/// Errors of `accept4` that are of one connection, and such as tell of a shortage.
+const OF_ONE_CONNECTION: &str = "103,71,113";
+const OF_A_SHORTAGE: &str = "24,23,105,12";
+
+/// Incident 906fe8, its other cause: each failed call of `accept` kept all clients waiting, some for longer than their
+/// time.
+#[test]
+fn clients_are_accepted_in_their_time_though_every_second_call_fails() {
+    for errors in [OF_ONE_CONNECTION, OF_A_SHORTAGE] {
+        let upstream = Upstream::start(|_| ok("served"));
+        let shell = format!("export ACCEPT_ERRORS=2:{errors} LD_PRELOAD={}", shim("accept_errors").display());
+        let sidecar = Sidecar::of(&shell, &[&upstream], alone);
+        let clients: Vec<_> = (0..100).map(|_| sidecar.send(&call("pay", 0.8))).collect();
+        clients.into_iter().for_each(|mut client| assert_eq!(Answer::read(&mut client).status, 200));
+    }
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -696,6 +696,20 @@
     (gate, upstream, sidecar)
 }
 
+/// A library of `tests/shims`, to be preloaded. A run of all tests has built it.
+pub fn shim(name: &str) -> PathBuf {
+    let executable = std::env::current_exe().expect("this test");
+    let built = executable.parent().and_then(Path::parent).expect("the folder of the build");
+    let path = built.join("examples").join(format!("lib{name}.so"));
+    if !path.exists() {
+        let profile = if built.ends_with("release") { "release" } else { "dev" };
+        let args = ["build", "--locked", "--profile", profile, "--example", name];
+        let status = Command::new(env!("CARGO")).args(args).status();
+        assert!(status.is_ok_and(|status| status.success()), "{name} can't be built");
+    }
+    path
+}
+
 /// With lists pushed and asked for, and with a discovery that refuses calls and one that leaves them unanswered.
 pub fn each_outage(play: impl Fn(&'static str, bool) + Sync) {
     let all = [("pushed", false), ("pushed", true), ("on_request", false), ("on_request", true)];
