--- a/src/bin/juniperspoke/bodies.rs
+++ b/src/bin/juniperspoke/bodies.rs
@@ -365,7 +365,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::heartbeat::Looks;
+    use crate::heartbeat::{Heartbeat, Looks};
+    use crate::metrics::Metrics;
     use crate::peer::Peer;
     use crate::upstream::BUFFER;
     use hyper::service::service_fn;
@@ -373,6 +374,7 @@
     use hyper_util::rt::TokioIo;
     use std::io::Write;
     use tokio::net::TcpListener;
+    use tokio::spawn;
     use tokio::sync::mpsc::unbounded_channel;
     use tokio::time::sleep;
 
@@ -383,8 +385,11 @@
         let addr = listener.local_addr().expect("an address");
         let mut client = std::net::TcpStream::connect(addr).expect("a connection");
         client.write_all(format!("POST / HTTP/1.1\r\n{begins}").as_bytes()).expect("written");
-        let (peer, heads, _socket) =
-            Peer::client(listener.accept().await.expect("a connection").0, Looks::from_now());
+        // The clock is the test's, the system's is not: no look at the sockets is ever long ago.
+        let heartbeat = Heartbeat::new();
+        spawn(heartbeat.clone().beat(Metrics::new(&[])));
+        let looks = Looks::at_accepted(heartbeat, Instant::now());
+        let (peer, heads, _socket) = Peer::client(listener.accept().await.expect("a connection").0, looks);
         let (start, (told, mut heard)) = (Instant::now(), unbounded_channel());
         let service = service_fn(|request: Request<Incoming>| {
             let mut intake = Intake::new(request.into_body(), Duration::from_secs(60), heads.clone());
