Tests: a soak of long stops, of clients that leave in time, and of failing accepts

Half of the clients leave when their time is over, some by a reset; stops come several in a row; a crowd in some plays, and in some a preloaded library makes calls of accept fail. What an answer may be late by grows by the stops in its time that are longer than 0.15 s; nothing else of the account changes, and the plays of before are the same.

--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -165,8 +165,7 @@
 fn clients_are_accepted_in_their_time_though_every_second_call_fails() {
     for errors in [OF_ONE_CONNECTION, OF_A_SHORTAGE] {
         let upstream = Upstream::start(|_| ok("served"));
-        let shell = format!("export ACCEPT_ERRORS=2:{errors} LD_PRELOAD={}", shim("accept_errors").display());
-        let sidecar = Sidecar::of(&shell, &[&upstream], alone);
+        let sidecar = Sidecar::of(&failing_accept(&format!("2:{errors}")), &[&upstream], alone);
         let clients: Vec<_> = (0..100).map(|_| sidecar.send(&call("pay", 0.8))).collect();
         clients.into_iter().for_each(|mut client| assert_eq!(Answer::read(&mut client).status, 200));
     }
--- a/tests/hold_up_soak.rs
+++ b/tests/hold_up_soak.rs
@@ -1,5 +1,5 @@
-//! Seeded hold-ups of the real program under traffic: it is stopped again and again, each time for no longer than a process
-//! may be held up, whatever is under way.
+//! Seeded hold-ups of the real program under traffic: it is stopped again and again, whatever is under way, for no longer
+//! than a process may be held up or for up to a second.
 
 mod soak;
 mod world;
@@ -15,7 +15,7 @@
 fn play(seed: u64) -> Vec<String> {
     let mut lot = Rng::with_seed(seed ^ 0x401d);
     let crowd = lot.u32(0..3) == 0;
-    let mut stage = Stage::start(seed, crowd);
+    let mut stage = Stage::start(seed, Setting { crowd, ..Setting::default() });
     let from = Instant::now();
     while from.elapsed() < LENGTH {
         thread::sleep(Duration::from_millis(lot.u64(5..150)));
@@ -31,3 +31,27 @@
 fn no_seeded_hold_up_loses_a_request_that_was_taken() {
     play_seeds(play);
 }
+
+/// The same with stops of up to a second, several of them close together, while half of the clients leave when their time
+/// is over, and with calls of `accept` that fail in some.
+fn play_long_stops(seed: u64) -> Vec<String> {
+    let mut lot = Rng::with_seed(seed ^ 0x57095);
+    let (crowd, accept_errors) = (lot.u32(0..4) == 0, lot.u32(0..3) == 0);
+    let mut stage = Stage::start(seed, Setting { crowd, impatient: true, accept_errors });
+    let from = Instant::now();
+    while from.elapsed() < LENGTH {
+        thread::sleep(Duration::from_millis(lot.u64(5..200)));
+        for _ in 0..lot.u32(1..4) {
+            stage.stop(Duration::from_millis(lot.u64(20..1_000)));
+            thread::sleep(Duration::from_millis(lot.u64(0..20)));
+        }
+    }
+    stage.close();
+    stage.play.breaks(&End { from, at: Instant::now(), was_killed: false, closes_idle: crowd })
+}
+
+/// Incident 906fe8: what was read long after it came was taken for new.
+#[test]
+fn no_seeded_stop_makes_old_requests_new() {
+    play_seeds(play_long_stops);
+}
--- a/tests/shutdown_soak.rs
+++ b/tests/shutdown_soak.rs
@@ -22,7 +22,7 @@
 /// Plays one seed, and tells what broke a rule.
 fn play(seed: u64) -> Vec<String> {
     let mut lot = Rng::with_seed(seed ^ 0x5eed);
-    let mut stage = Stage::start(seed, lot.u32(0..3) == 0);
+    let mut stage = Stage::start(seed, Setting { crowd: lot.u32(0..3) == 0, ..Setting::default() });
     thread::sleep(Duration::from_millis(lot.u64(300..1_000)));
     if lot.bool() {
         stage.sidecar.signal(Signal::SIGHUP);
--- a/tests/soak/mod.rs
+++ b/tests/soak/mod.rs
@@ -7,6 +7,7 @@
 use fastrand::Rng;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
+use socket2::SockRef;
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -34,6 +35,17 @@
 /// The classes of the first deployment, with their methods.
 const CLASSES: [(&str, &str); 3] = [("pay", "POST"), ("report", "POST"), ("look", "GET")];
 
+/// What a play is like.
+#[derive(Clone, Copy, Default)]
+pub struct Setting {
+    /// A crowd of idle clients takes up places.
+    pub crowd: bool,
+    /// Half of the clients leave when their time is over, some by a reset.
+    pub impatient: bool,
+    /// Calls of `accept` fail.
+    pub accept_errors: bool,
+}
+
 /// How a play ended.
 pub struct End {
     /// What the stories count their times from: SIGTERM where there was one.
@@ -108,24 +120,29 @@
 /// One play: what is drawn from its seed, and what came of it.
 pub struct Play {
     seed: u64,
+    setting: Setting,
     pub deadline: Duration,
     asked: Mutex<HashMap<String, Asked>>,
     attempts: Mutex<HashMap<String, Vec<Attempt>>>,
     next_id: AtomicU64,
+    /// From when to when the process was stopped for longer than it may be held up.
+    stops: Mutex<Vec<(Instant, Instant)>>,
     /// No new connections any more; no requests any more.
     pub closed: AtomicBool,
     pub over: AtomicBool,
 }
 
 impl Play {
-    pub fn new(seed: u64) -> Arc<Play> {
+    pub fn new(seed: u64, setting: Setting) -> Arc<Play> {
         let deadline = Duration::from_millis(Rng::with_seed(seed).u64(300..1_500));
         Arc::new(Play {
             seed,
+            setting,
             deadline,
             asked: Mutex::default(),
             attempts: Mutex::default(),
             next_id: AtomicU64::new(0),
+            stops: Mutex::default(),
             closed: AtomicBool::new(false),
             over: AtomicBool::new(false),
         })
@@ -173,6 +190,7 @@
     /// One client after the other's leaving, until the play is over.
     fn client(&self, number: u64, addr: SocketAddr) {
         let mut lot = Rng::with_seed(self.seed * 1_000 + number);
+        let mut impatience = Rng::with_seed((self.seed * 1_000 + number) ^ 0x1e47e);
         while !self.closed.load(Ordering::SeqCst) {
             let Ok(mut stream) = TcpStream::connect(addr) else {
                 thread::sleep(Duration::from_millis(10));
@@ -182,7 +200,7 @@
             if lot.bool() {
                 thread::sleep(Duration::from_millis(lot.u64(0..1_500)));
             }
-            while !self.over.load(Ordering::SeqCst) && self.ask(&mut stream, &mut lot) {
+            while !self.over.load(Ordering::SeqCst) && self.ask(&mut stream, &mut lot, &mut impatience) {
                 if lot.u32(0..3) == 0 {
                     thread::sleep(Duration::from_millis(lot.u64(0..150)));
                 }
@@ -191,7 +209,7 @@
     }
 
     /// One request; `false` if its connection can carry no other.
-    fn ask(&self, stream: &mut TcpStream, lot: &mut Rng) -> bool {
+    fn ask(&self, stream: &mut TcpStream, lot: &mut Rng, impatience: &mut Rng) -> bool {
         let id = format!("soak-{}", self.next_id.fetch_add(1, Ordering::SeqCst));
         let class = lot.usize(0..CLASSES.len());
         let budget = self.deadline.mul_f64((0.2 + 1.6 * lot.f64()).min(1.0));
@@ -215,6 +233,14 @@
             self.note_end(&id, Ended::Left);
             return false;
         }
+        if self.setting.impatient && impatience.bool() && !self.has_begun_in_time(&id, stream) {
+            if impatience.u32(0..4) == 0 {
+                drop(SockRef::from(&*stream).set_linger(Some(Duration::ZERO)));
+            }
+            drop(stream.shutdown(std::net::Shutdown::Both));
+            self.note_end(&id, Ended::Left);
+            return false;
+        }
         stream.set_read_timeout(Some(Duration::from_secs(5))).expect("set");
         let begun = stream.peek(&mut [0]).is_ok_and(|count| count > 0);
         let answer = Answer::try_read(stream);
@@ -229,6 +255,26 @@
         !closes
     }
 
+    /// Does an answer to this request begin before its client's time is over?
+    fn has_begun_in_time(&self, id: &str, stream: &TcpStream) -> bool {
+        let due = {
+            let asked = self.asked.lock().expect("no panic");
+            asked[id].sent + asked[id].budget
+        };
+        let left = due.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+        stream.set_read_timeout(Some(left)).expect("set");
+        // An end is one, too: what it means is judged as for all clients.
+        stream.peek(&mut [0]).is_ok()
+    }
+
+    /// How long the process was stopped in that time, as far as that was for longer than it may be held up.
+    fn stopped_between(&self, from: Instant, to: Instant) -> Duration {
+        let stops = self.stops.lock().expect("no panic");
+        let overlap =
+            |&(begin, end): &(Instant, Instant)| end.min(to).saturating_duration_since(begin.max(from));
+        stops.iter().map(overlap).sum()
+    }
+
     /// Whatever breaks a rule, each with the story of its request.
     pub fn breaks(&self, end: &End) -> Vec<String> {
         let End { from, at: end, was_killed, closes_idle } = *end;
@@ -253,7 +299,7 @@
                 note("never ended");
                 continue;
             };
-            if ended == Ended::Answered && at > due + LATE {
+            if ended == Ended::Answered && at > due + LATE + self.stopped_between(request.sent, at) {
                 note("lost, answered late");
             }
             let excused = was_killed && request.sent <= from + OWED_AFTER && due + LATE > end;
@@ -292,21 +338,21 @@
 }
 
 impl Stage {
-    /// With a crowd of idle clients, if so.
-    pub fn start(seed: u64, crowd: bool) -> Stage {
-        let play = Play::new(seed);
+    pub fn start(seed: u64, setting: Setting) -> Stage {
+        let play = Play::new(seed, setting);
         let upstreams: Vec<_> = (0..4).map(|number| play.upstream(number)).collect();
-        let sidecar = Sidecar::with(&upstreams.iter().collect::<Vec<_>>(), |config| {
+        let shell = if setting.accept_errors { failing_accept("3:103,24,71,105") } else { ":".into() };
+        let sidecar = Sidecar::of(&shell, &upstreams.iter().collect::<Vec<_>>(), |config| {
             for class in config["settings"]["requestClasses"].as_array_mut().expect("classes") {
                 class["deadline"] = json!(play.deadline.as_secs_f64() * 1e3);
                 class["aim"] = json!(play.deadline.as_secs_f64() * 1e3 / 3.0);
             }
-            if crowd {
+            if setting.crowd {
                 config["limits"]["sockets"] = Value::from(200);
             }
         });
         let addr = sidecar.connect().peer_addr().expect("its address");
-        let crowd = crowd.then(|| Crowd::of(100, 50, &sidecar));
+        let crowd = setting.crowd.then(|| Crowd::of(100, 50, &sidecar));
         let client = |number| {
             let play = play.clone();
             thread::spawn(move || play.client(number, addr))
@@ -317,10 +363,19 @@
 
     /// Stops the process for no longer than it may be held up.
     pub fn hold_up(&self, lot: &mut Rng) {
+        self.stop(Duration::from_millis(lot.u64(5..HOLD_UP_MS)));
+    }
+
+    /// Stops the process for so long.
+    pub fn stop(&self, time: Duration) {
         // It may have ended, and be waiting for its parent.
+        let from = Instant::now();
         self.sidecar.signal(Signal::SIGSTOP);
-        thread::sleep(Duration::from_millis(lot.u64(5..HOLD_UP_MS)));
+        thread::sleep(time);
         self.sidecar.signal(Signal::SIGCONT);
+        if time > Duration::from_millis(HOLD_UP_MS) {
+            self.play.stops.lock().expect("no panic").push((from, Instant::now()));
+        }
     }
 
     /// No client asks any more; back once all have ended.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -697,7 +697,7 @@
 }
 
 /// A library of `tests/shims`, to be preloaded. A run of all tests has built it.
-pub fn shim(name: &str) -> PathBuf {
+fn shim(name: &str) -> PathBuf {
     let executable = std::env::current_exe().expect("this test");
     let built = executable.parent().and_then(Path::parent).expect("the folder of the build");
     let path = built.join("examples").join(format!("lib{name}.so"));
@@ -710,6 +710,11 @@
     path
 }
 
+/// A shell command that makes calls of `accept` fail: `2:103,24` is every second one, with these errors in turn.
+pub fn failing_accept(plan: &str) -> String {
+    format!("export ACCEPT_ERRORS={plan} LD_PRELOAD={}", shim("accept_errors").display())
+}
+
 /// With lists pushed and asked for, and with a discovery that refuses calls and one that leaves them unanswered.
 pub fn each_outage(play: impl Fn(&'static str, bool) + Sync) {
     let all = [("pushed", false), ("pushed", true), ("on_request", false), ("on_request", true)];
