The spans of a decision count from the clock reading that it was made by

Upstreams were told of up to 0.46 s more than their clients had left, where the process was stopped between the driver's reading of the clock for the module and the next one for the attempt: timeouts, timers and a client's patience were spans from the one, and counted from the other.

One reading serves an event, what is decided on it, and what is carried out for it. The new test failed before: 9 s of 9 s were passed on 4 s after the decision.

--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -292,7 +292,7 @@
         if let Some(part) = counted {
             part.tally.note_request(tenant, class, cost.map(|cost| cost.as_secs_f64() * 1e3));
         }
-        self.handle_event(Event::Request(Arrival { id, class, cost, patience, origin, tenant }));
+        self.handle_event_of(now, Event::Request(Arrival { id, class, cost, patience, origin, tenant }));
         let refused = origin == Origin::Fresh && self.balancer.turned_away() > turned_away;
         if let Some(part) = self.part.as_mut().filter(|_| refused) {
             part.tally.note_refused(tenant, class);
@@ -376,27 +376,34 @@
         }
     }
 
-    /// Unix time at the start of the process, and even from there.
-    fn now(&self) -> Duration {
-        self.started.1 + self.started.0.elapsed()
+    /// On the module's clock: Unix time at the start of the process, and even from there.
+    fn module_time(&self, at: Instant) -> Duration {
+        let (started, unix) = self.started;
+        unix + at.saturating_duration_since(started)
     }
 
     /// Tells the module one event and carries out what it says; what that causes at once comes after.
     fn handle_event(&mut self, event: Event) {
-        let mut events = VecDeque::from([event]);
-        while let Some(event) = events.pop_front() {
-            let now = self.now();
+        self.handle_event_of(Instant::now(), event);
+    }
+
+    /// The same for an event whose spans count from then; so do those in its actions, whenever they are carried out.
+    fn handle_event_of(&mut self, at: Instant, event: Event) {
+        let mut events = VecDeque::from([(at, event)]);
+        while let Some((at, event)) = events.pop_front() {
             let mut actions = std::mem::take(&mut self.actions);
-            self.balancer.handle(now, event, &mut actions);
-            events.extend(actions.drain(..).filter_map(|action| self.act(action)));
+            self.balancer.handle(self.module_time(at), event, &mut actions);
+            for action in actions.drain(..) {
+                events.extend(self.act(at, action).map(|event| (Instant::now(), event)));
+            }
             self.actions = actions;
         }
     }
 
-    /// Carries out one action; some end in an event of their own at once.
-    fn act(&mut self, action: Action) -> Option<Event> {
+    /// Carries out one action that was decided on then; some end in an event of their own at once.
+    fn act(&mut self, at: Instant, action: Action) -> Option<Event> {
         match action {
-            Action::Send { id, server, timeout } => return self.send(id, server, timeout),
+            Action::Send { id, server, timeout } => return self.send(at, id, server, timeout),
             Action::Refuse { id, retry_after } => {
                 self.answer(id, Answer::Refused(retry_after));
                 self.forget(id);
@@ -421,7 +428,7 @@
                 return Some(Event::Outcome { id, attempt, outcome: Outcome::Cancelled, took, progress });
             }
             Action::SetTimer { timer, after } => {
-                self.timers.push(Reverse((Instant::now() + after, Due::Module(timer))));
+                self.timers.push(Reverse((at + after, Due::Module(timer))));
             }
             Action::Probe(server) => {
                 let Some(target) = self.servers.get(&server).cloned() else {
@@ -452,17 +459,16 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, timeout: Duration) -> Option<Event> {
+    fn send(&mut self, at: Instant, id: RequestId, server: ServerId, timeout: Duration) -> Option<Event> {
         let owed = self.requests.get_mut(&id)?;
         let attempt = owed.attempts.len();
-        let now = Instant::now();
         // Guards against sends after the end, also one that is still to be told, for a client that may have left, and
         // to an upstream that the list has taken back.
         let begins = owed.is_wanted() && owed.outbound.end.lets_begin();
         let target = self.servers.get(&server).filter(|_| begins).cloned();
         let Some(target) = target else {
             tracing::debug!(request = id.0, attempt, server = server.0, begins, "attempt not begun");
-            owed.attempts.push(Flight { sent: now, out: None, zone: u16::MAX, counted: false });
+            owed.attempts.push(Flight { sent: at, out: None, zone: u16::MAX, counted: false });
             let progress = if owed.is_wanted() { Progress::Owed } else { Progress::Ended };
             let (outcome, took) = (Outcome::Moot, Duration::ZERO);
             return Some(Event::Outcome { id, attempt, outcome, took, progress });
@@ -473,10 +479,10 @@
         let zone = self.part.as_ref().and_then(|part| part.zones.get(&server)).copied().unwrap_or(u16::MAX);
         let (start, origin) = self.started;
         let begin_by = self.balancer.begins_by(id).map(|by| start + by.saturating_sub(origin));
-        let terms = Terms { since: now, timeout, begin_by };
+        let terms = Terms { since: at, timeout, begin_by };
         let task = self.upstreams.clone().attempt(target, owed.outbound.clone(), terms, report);
         let out = Some(tokio::spawn(task).abort_handle());
-        owed.attempts.push(Flight { sent: now, out, zone, counted: false });
+        owed.attempts.push(Flight { sent: at, out, zone, counted: false });
         if let Some(part) = &mut self.part {
             part.tally.note_sent(zone, owed.tenant);
         }
@@ -526,7 +532,7 @@
 
     /// Puts the starts that a list tells in Unix time on the clock of the process.
     fn place_starts(&mut self, news: &mut News) {
-        let (wall, now) = (unix_time(), self.now());
+        let (wall, now) = (unix_time(), self.module_time(Instant::now()));
         for (line, _) in &mut news.members {
             line.started = line.started.map(|told| self.starts.place(line.server, told, wall, now));
         }
@@ -676,6 +682,29 @@
         }
     }
 
+    /// Guards against a deadline passed on that is too long by the time for which the process was held up as it decided.
+    #[tokio::test(start_paused = true)]
+    async fn the_time_of_an_attempt_runs_from_when_it_was_decided_on() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
+        let long = Duration::from_secs(30);
+        let upstreams = Upstreams::new(4, long, long, Metrics::new(&[]), Budget::new(0));
+        let (mut driver, _handle) = Driver::new(config.clone(), upstreams, Arc::new(Notify::new()), None);
+        driver.take_over(listed(&config, addr, Duration::ZERO).expect("a list"));
+        let (to, _answer) = oneshot::channel();
+        let (id, server) = (RequestId(0), crate::list::server_id("s"));
+        driver.accept(id, inbound("/api", long), to);
+        let (decided_at, held_up) = (Instant::now(), Duration::from_secs(4));
+        tokio::time::advance(held_up).await;
+        driver.act(decided_at, Action::Send { id, server, timeout: Duration::from_secs(9) });
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let request = read(&stream).await.to_lowercase();
+        let passed_on = request.lines().find_map(|line| line.strip_prefix("x-budget: ")?.parse().ok());
+        let passed_on: f64 = passed_on.expect("a time");
+        assert!(passed_on <= 5.0, "{passed_on} s of 9 s after 4 s");
+    }
+
     #[tokio::test(start_paused = true)]
     async fn an_answer_that_has_been_told_comes_before_what_falls_due_until_it_is_heard() {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
