--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -454,7 +454,12 @@
     fn log(&mut self, note: Note) {
         let again = |(last, at): (Note, Instant)| last == note && at.elapsed() < LOG_AGAIN;
         if !self.logged.is_some_and(again) {
-            tracing::warn!("{note}");
+            let server = match note {
+                Note::Ejected(server) | Note::Readmitted(server) => self.servers.get(&server),
+                _ => None,
+            };
+            let addr = server.map(|target| tracing::field::display(target.addr));
+            tracing::warn!(addr, requests = self.requests.len(), "{note}");
             self.logged = Some((note, Instant::now()));
         }
     }
--- a/src/bin/juniperspoke/leaving.rs
+++ b/src/bin/juniperspoke/leaving.rs
@@ -52,18 +52,23 @@
         });
     }
 
+    /// How it has ended, as far as is known.
+    pub fn noted(&self) -> Option<Ended> {
+        *self.noted.borrow()
+    }
+
     /// For a request whose last byte has just been read. `waits` says that its client had ended by then.
     pub fn of_request(self: &Arc<Self>, waits: bool) -> RequestEnd {
         RequestEnd { waits, end: self.clone(), settled: Arc::default() }
     }
 
     fn lets_begin(&self) -> bool {
-        if self.noted.borrow().is_none()
+        if self.noted().is_none()
             && let Some(ended) = (self.unseen)()
         {
             self.note(ended);
         }
-        self.noted.borrow().is_none_or(Ended::lets_begin)
+        self.noted().is_none_or(Ended::lets_begin)
     }
 }
 
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -29,6 +29,7 @@
 use micapier::settings::LONGEST;
 use std::collections::HashSet;
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::poll_fn;
 use std::hash::{BuildHasher, RandomState};
 use std::io;
@@ -318,6 +319,8 @@
     async fn serve(self: Arc<Self>, stream: TcpStream, looks: Looks) {
         // Without it answers are merely slower.
         drop(stream.set_nodelay(true));
+        // As logs call it; who has reset its connection has none.
+        let client = stream.peer_addr().map_or_else(|error| error.to_string(), |addr| addr.to_string());
         let (used, begun, since) = (AtomicBool::new(false), Notify::new(), Instant::now());
         let (peer, heads, socket) = Peer::client(stream, looks);
         let open = Arc::new(Connection::new(heads, socket));
@@ -347,17 +350,19 @@
                 // Whatever ends it, whoever waited on it has left.
                 end = connection.as_mut() => {
                     if let Err(error) = end {
-                        tracing::debug!(%error, "a client's connection broke");
+                        tracing::debug!(client, %error, cause = ?error.source(), "a client's connection broke");
                     }
                     break;
                 }
                 () = &mut cut => {
+                    tracing::debug!(client, "a client's connection closes behind a cut answer");
                     open.close().await;
                     break;
                 }
                 () = open.socket.ended(), if !ended => {
                     ended = true;
                     open.note_end();
+                    tracing::debug!(client, end = ?open.end.noted(), "a client has ended");
                     continue;
                 }
                 Ok(()) = life.changed() => if !life.borrow().close_all { continue },
@@ -379,7 +384,7 @@
             // Guards against closing on a newcomer whose first request is on its way, ...
             if used.load(Ordering::Relaxed) || life.borrow().close_all {
                 open.heads.close();
-                tracing::debug!(stage = ?life.borrow().stage, evicted, "a client's connection closes");
+                tracing::debug!(client, stage = ?life.borrow().stage, evicted, "a client's connection closes");
                 // ... and on what has come of a request, read or not: its answer closes.
                 if !open.heads.has_next() && !open.socket.has_more() {
                     connection.as_mut().graceful_shutdown();
--- a/tests/soak/mod.rs
+++ b/tests/soak/mod.rs
@@ -60,6 +60,8 @@
 #[derive(Clone, Debug)]
 struct Asked {
     class: usize,
+    /// By which the sidecar's log tells its connection.
+    client: String,
     sent: Instant,
     budget: Duration,
     ended: Option<(Instant, Ended)>,
@@ -215,7 +217,8 @@
         let budget = self.deadline.mul_f64((0.2 + 1.6 * lot.f64()).min(1.0));
         let call = call(CLASSES[class].0, budget.as_secs_f64()).method(CLASSES[class].1);
         let text = call.header("X-Call-Id", &id).header("Idempotency-Key", &id).text();
-        let asked = Asked { class, sent: Instant::now(), budget, ended: None };
+        let client = stream.local_addr().map_or_else(|error| error.to_string(), |addr| addr.to_string());
+        let asked = Asked { class, client, sent: Instant::now(), budget, ended: None };
         self.asked.lock().expect("no panic").insert(id.clone(), asked);
         let (early, late) = text.split_at(lot.usize(0..text.len()));
         if lot.u32(0..8) > 0 {
@@ -291,7 +294,8 @@
                 let tries: Vec<_> = tried.iter().map(|a| (ms(a.at), a.budget, a.rejected)).collect();
                 let ended = request.ended.map(|(at, ended)| (ms(at), ended));
                 let (class, sent, budget) = (CLASSES[request.class].0, ms(request.sent), request.budget);
-                format!("{id} {class}: sent at {sent} ms, waits {budget:?}, {tries:?}, {ended:?}")
+                let client = &request.client;
+                format!("{id} {class}: {client} sent at {sent} ms, waits {budget:?}, {tries:?}, {ended:?}")
             };
             let mut note = |rule: &str| breaks.push(format!("{rule}: {}", story()));
             let due = request.sent + request.budget;
