No limit ends a wait for what came while the process was held up

Callers saw connections closed over requests that they had sent, with no answer: newcomers that had rested, and whose requests came while the process was stopped past the time for a first head. The system ends its wait for sockets with the signal (EINTR), and the runtime runs what is due before it looks again.

The one limit on waits, for heads, bodies, silent upstreams and writes, now lets the runtime read what has come once it is over. The answer's own way to do so goes.

--- a/src/bin/juniperspoke/answer.rs
+++ b/src/bin/juniperspoke/answer.rs
@@ -4,7 +4,7 @@
 use crate::budget::Share;
 use crate::metrics::{Ending, Ticket};
 use crate::peer::{Limit, STALL};
-use crate::system::{read_what_has_come, ready_by_what_has_come};
+use crate::system::ready_by_what_has_come;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::HeaderValue;
@@ -111,8 +111,6 @@
 pub struct AnswerStream {
     begun: Begun,
     silence: Limit,
-    /// Once its upstream has been silent for too long: guards against cutting what came while the process was held up.
-    last_read: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
     /// Bytes passed on.
     passed: u64,
     /// When its client's time ends, and when the longest has to be over.
@@ -135,7 +133,6 @@
         AnswerStream {
             begun,
             silence: Limit::default(),
-            last_read: None,
             passed: 0,
             by,
             over: Instant::now() + Duration::from_secs_f64(LONGEST as f64 / RATE),
@@ -190,14 +187,11 @@
                     Poll::Pending => {
                         let until = this.until();
                         ready!(this.silence.poll(|| until, context));
-                        let last_read = this.last_read.get_or_insert_with(|| Box::pin(read_what_has_come()));
-                        ready!(last_read.as_mut().poll(context));
                         return this.cut(Cut::Silent);
                     }
                 },
             };
             this.silence.over();
-            this.last_read = None;
             match frame {
                 Some(Ok(frame)) if frame.is_data() => {
                     this.passed += frame.data_ref().map_or(0, |data| data.len() as u64);
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -5,7 +5,7 @@
 use crate::framing::Framing;
 use crate::heartbeat::Looks;
 use crate::leaving::Ended;
-use crate::system::retry_interrupted;
+use crate::system::{read_what_has_come, retry_interrupted};
 use crate::tcp_info::{self, PeerEnd};
 use crate::write_gate::WriteGate;
 use micapier::staleness::{ORDINARY_GAP, Unread};
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 /// A peer that takes, or gives, nothing for so long has stopped: several times what a slow one pauses.
 pub const STALL: Duration = Duration::from_secs(5);
@@ -32,14 +32,23 @@
 /// unread bytes would reset the connection, and take the last answer along.
 const LINGER: Duration = Duration::from_millis(500);
 
-/// A limit on one wait after another.
+/// A limit on one wait after another. What is waited for has to be polled before it.
 #[derive(Default)]
-pub struct Limit(Option<Pin<Box<Sleep>>>);
+pub struct Limit(Option<Pin<Box<dyn Future<Output = ()> + Send + Sync>>>);
 
 impl Limit {
-    /// Ready once the wait that began with the first poll has lasted until the end that was given then.
+    /// Ready once the wait that began with the first poll has lasted until the end that was given then, and the runtime
+    /// has read what had come by then. Guards against ending, as a process goes on that was held up, a wait for what is
+    /// there: a stopped process hears of its timers first.
     pub fn poll(&mut self, end: impl FnOnce() -> Instant, context: &mut Context<'_>) -> Poll<()> {
-        self.0.get_or_insert_with(|| Box::pin(sleep_until(end()))).as_mut().poll(context)
+        let begin = || {
+            let end = end();
+            Box::pin(async move {
+                sleep_until(end).await;
+                read_what_has_come().await;
+            }) as Pin<Box<_>>
+        };
+        self.0.get_or_insert_with(begin).as_mut().poll(context)
     }
 
     /// The wait is over; the next poll begins another.
--- a/tests/stale_requests.rs
+++ b/tests/stale_requests.rs
@@ -22,6 +22,8 @@
 const MAY_BEGIN: Duration = Duration::from_millis(100);
 /// What a deadline that is passed on may be too long by.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+/// Who connects is owed an error or a close by then, whatever it sends.
+const OWED_WITHIN: Duration = Duration::from_secs(3);
 /// Tells the requests of these clients apart.
 const THEIRS: &str = "/theirs";
 
@@ -52,7 +54,7 @@
 /// lets it go on.
 fn send_while_stopped(sidecar: &Sidecar, budget: Duration, meanwhile: impl FnOnce(Vec<TcpStream>)) {
     let kept: Vec<_> = (0..6).map(|_| asked_for_readiness(sidecar)).collect();
-    sidecar.pause();
+    sidecar.pause_at_rest();
     let stopped_at = Instant::now();
     let mut clients: Vec<_> = kept.into_iter().chain((0..6).map(|_| sidecar.connect())).collect();
     for (number, client) in clients.iter_mut().enumerate() {
@@ -97,7 +99,7 @@
 fn nothing_is_sent_on_for_clients_that_have_reset_however_short_the_stop() {
     let upstreams = twins(turn_theirs_away);
     let sidecar = Sidecar::start(&upstreams.each_ref());
-    sidecar.pause();
+    sidecar.pause_at_rest();
     (0..10).for_each(|_| reset(sidecar.send(&call("pay", 20.0).path(THEIRS))));
     sidecar.signal(Signal::SIGCONT);
     sidecar.serves(1, 5.0);
@@ -142,7 +144,7 @@
     sidecar.discovery.tell(2, true, &[upstream.line("Terminating")]);
     let clients: Vec<_> = (0..200).map(|_| sidecar.send(&call("pay", 20.0).path(THEIRS))).collect();
     (0..2).for_each(|_| assert_ne!(sidecar.ready(), 0));
-    sidecar.pause();
+    sidecar.pause_at_rest();
     drop(clients);
     sleep(HOLD_UP);
     sidecar.discovery.say(3, true, &[upstream.line("Ready")]);
@@ -167,11 +169,36 @@
     assert_eq!(attempts(&[upstream]).len(), 0);
 }
 
+/// Guards against closing on newcomers, as too slow, whose requests and bodies came while the process was stopped.
+#[test]
+fn newcomers_whose_requests_came_while_the_process_was_stopped_are_answered() {
+    let (_upstream, sidecar) = served(|_| {});
+    let text = call("pay", 20.0).body("whole").text();
+    let begun = [0, 9, text.len() - 1];
+    let mut clients = begun.map(|length| {
+        let mut client = sidecar.connect();
+        client.write_all(&text.as_bytes()[..length]).expect("written");
+        client
+    });
+    (0..2).for_each(|_| assert_ne!(sidecar.ready(), 0));
+    sidecar.pause_at_rest();
+    for (client, length) in clients.iter_mut().zip(begun) {
+        // Each has an id of its own.
+        let text = text.replace("call-", &format!("{length}--"));
+        client.write_all(&text.as_bytes()[length..]).expect("written");
+    }
+    sleep(OWED_WITHIN);
+    sidecar.signal(Signal::SIGCONT);
+    for client in &mut clients {
+        assert_eq!(Answer::try_read(client).expect("an answer").whole(), (200, "served"));
+    }
+}
+
 /// Guards against taking for gone a client that has only ended its sending, though the process was stopped before.
 #[test]
 fn who_ends_its_sending_after_a_stop_is_served() {
     let (_upstream, sidecar) = served(|_| {});
-    sidecar.pause();
+    sidecar.pause_at_rest();
     sleep(HOLD_UP);
     let mut client = sidecar.send(&call("pay", 20.0));
     client.shutdown(Shutdown::Write).expect("shut");
@@ -186,7 +213,7 @@
     let calls = CLASSES.map(|(class, method)| call(class, BUDGET.as_secs_f64()).method(method));
     let mut waiting = calls.map(|call| sidecar.send(&call));
     upstream.wait_for("both requests", |state| state.requests.len() == CLASSES.len());
-    sidecar.pause();
+    sidecar.pause_at_rest();
     gate.open();
     sleep(HOLD_UP);
     sidecar.signal(Signal::SIGCONT);
@@ -213,7 +240,7 @@
     for upstream in &upstreams {
         upstream.wait_for("some requests", |state| state.requests.len() >= 2);
     }
-    sidecar.pause();
+    sidecar.pause_at_rest();
     gate.open();
     sleep(HOLD_UP);
     sidecar.signal(Signal::SIGCONT);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -1001,8 +1001,19 @@
     /// Stops it until SIGCONT; back once it has stopped.
     pub fn pause(&self) {
         self.signal(Signal::SIGSTOP);
+        self.wait_for_state('T');
+    }
+
+    /// The same, while it waits for its sockets: as it goes on the system tells of no socket first, but of the signal.
+    pub fn pause_at_rest(&self) {
+        self.wait_for_state('S');
+        self.pause();
+    }
+
+    fn wait_for_state(&self, state: char) {
         let path = format!("/proc/{}/stat", self.process.id());
-        wait("the stop", || std::fs::read_to_string(&path).expect("its figures").contains(") T "));
+        let shown = format!(") {state} ");
+        wait("its state", || std::fs::read_to_string(&path).expect("its figures").contains(&shown));
     }
 
     pub fn exit_code(&mut self) -> Option<i32> {
