A connection that came up while the process was held up is used, its server not blamed

Servers were held to be unreachable, and ejected at once, whose connections came up while the process was stopped for longer than a connection may take (0.25 s unless the settings say otherwise); three of them take their whole zone along. As for limits on reading, the time to connect is heard of before the socket.

What has come by the end of a time is now waited for in one place, also for connections. The new test failed before: the server is down, and its connection closed unused.

--- a/src/bin/juniperspoke/answer.rs
+++ b/src/bin/juniperspoke/answer.rs
@@ -4,7 +4,7 @@
 use crate::budget::Share;
 use crate::metrics::{Ending, Ticket};
 use crate::peer::{Limit, STALL};
-use crate::system::ready_by_what_has_come;
+use crate::system::wait_until;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::HeaderValue;
@@ -14,7 +14,7 @@
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 /// An answer of unknown length is held for so long at most: one over [`HELD`] is timed by its first bytes, and
 /// those of a short one are here by then.
@@ -34,14 +34,6 @@
     _share: Option<Share>,
 }
 
-/// Waits until then. What has come by then counts, though a process that was held up reads it only after.
-async fn wait_until<F: Future + Unpin>(until: Instant, mut future: F) -> Option<F::Output> {
-    match timeout_at(until, &mut future).await {
-        Ok(output) => Some(output),
-        Err(_) => ready_by_what_has_come(future).await,
-    }
-}
-
 /// The next piece; `None` at the end.
 async fn next_piece(body: &mut Incoming) -> Result<Option<Bytes>, hyper::Error> {
     loop {
--- a/src/bin/juniperspoke/system.rs
+++ b/src/bin/juniperspoke/system.rs
@@ -6,7 +6,7 @@
 use std::task::Poll;
 use std::time::Duration;
 use tokio::task::yield_now;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 /// A timer is heard of so late only in a process that was held up, if not for long.
 const TIMER_SLACK: Duration = Duration::from_millis(10);
@@ -38,6 +38,14 @@
     None
 }
 
+/// Waits for it until then. What has come by then counts, though a process that was held up reads it only after.
+pub async fn wait_until<F: Future + Unpin>(until: Instant, mut future: F) -> Option<F::Output> {
+    match timeout_at(until, &mut future).await {
+        Ok(output) => Some(output),
+        Err(_) => ready_by_what_has_come(future).await,
+    }
+}
+
 /// Lets all that waits for something to be read get on as far as what has come by now allows, and tell of it.
 pub async fn read_all_that_has_come() {
     // One more, in which the last is told.
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -10,7 +10,7 @@
 use crate::leaving::RequestEnd;
 use crate::metrics::{Count, Metrics};
 use crate::peer::Peer;
-use crate::system::{is_late, is_local, read_what_has_come, ready_by_what_has_come};
+use crate::system::{is_late, is_local, read_what_has_come, ready_by_what_has_come, wait_until};
 use crate::write_gate::WriteGate;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -25,6 +25,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -310,8 +311,8 @@
         let slot = self.slot().await.ok_or(Outcome::Moot)?;
         let since = Instant::now();
         let by = by.min(since + self.connect_timeout);
-        let opened = timeout_at(by, TcpConnection::open(addr, slot)).await;
-        let opened = opened.map_err(|_| self.waited_in_vain(addr, since))?;
+        let opened = wait_until(by, pin!(TcpConnection::open(addr, slot))).await;
+        let opened = opened.ok_or_else(|| self.waited_in_vain(addr, since))?;
         let mut connection = match opened {
             Err(OpenError::Ours(_)) => return Err(Outcome::Moot),
             opened => {
--- a/tests/stale_requests.rs
+++ b/tests/stale_requests.rs
@@ -6,7 +6,7 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 use socket2::SockRef;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -169,6 +169,30 @@
     assert_eq!(attempts(&[upstream]).len(), 0);
 }
 
+/// Incident 906fe8: servers whose connections came up while the process was stopped were held to be unreachable, and their
+/// zone with them.
+#[test]
+fn servers_whose_connections_came_up_while_the_process_was_stopped_are_not_unreachable() {
+    let (upstream, listener, _first) = Upstream::crowded();
+    let sidecar = Sidecar::with(&[&upstream], |config| {
+        with_door(config);
+        config["settings"]["policyLimits"]["connectTimeout"] = json!(2_000.0);
+    });
+    let mut client = sidecar.send(&call("pay", 20.0));
+    (0..2).for_each(|_| assert_ne!(sidecar.ready(), 0));
+    sidecar.pause_at_rest();
+    let stopped_at = Instant::now();
+    let _first = listener.accept().expect("the first");
+    let (mut stream, _) = listener.accept().expect("the sidecar's");
+    sleep(Duration::from_millis(2_500).saturating_sub(stopped_at.elapsed()));
+    sidecar.signal(Signal::SIGCONT);
+    assert_ne!(sidecar.ready(), 0);
+    assert_eq!(sidecar.figure("hosts_down"), 0);
+    assert!(stream.read(&mut [0; 4_096]).expect("a request") > 0);
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved").expect("written");
+    assert_eq!(Answer::read(&mut client).whole(), (200, "served"));
+}
+
 /// Guards against closing on newcomers, as too slow, whose requests and bodies came while the process was stopped.
 #[test]
 fn newcomers_whose_requests_came_while_the_process_was_stopped_are_answered() {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -290,6 +290,20 @@
         (Upstream { addr: addr.expect("an address"), state, stopped, listening, held }, listener)
     }
 
+    /// The same, with a connection that takes the only place in its queue: no other comes up until it is accepted, nor for
+    /// up to a second after, when it is asked for again.
+    pub fn crowded() -> (Upstream, TcpListener, TcpStream) {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(&any_port.into()).and_then(|()| socket.listen(0)).expect("a port");
+        let listener = TcpListener::from(socket);
+        let addr = listener.local_addr().expect("an address");
+        let first = TcpStream::connect(addr).expect("the one that has room");
+        let (state, stopped) = (Watched::new(State::default()), Arc::default());
+        let (listening, held) = (Mutex::default(), Mutex::default());
+        (Upstream { addr, state, stopped, listening, held }, listener, first)
+    }
+
     fn serve(mut stream: TcpStream, state: &Watched<State>, reply: &dyn Fn(&Seen) -> Reply) {
         let clone = || stream.try_clone().expect("a clone");
         let mut reader = BufReader::new(clone());
