What takes many turns to be read keeps its age

Upstreams were told of 0.46 s more than their clients had left, by requests on connections that close behind their next answer. Those are read byte by byte, and the runtime makes a task wait that has had its share of a turn; that was taken for a socket with nothing to be read, so that the rest of a request that came during a stop looked new.

A wait for the next turn says nothing of the socket any more; the same for the queue of connections to be accepted. The new test holds up the event loop while 2,000 bytes come, and reads them one by one: it failed before.

--- a/src/bin/juniperspoke/accept.rs
+++ b/src/bin/juniperspoke/accept.rs
@@ -4,8 +4,10 @@
 use crate::system::is_shortage;
 use std::future::poll_fn;
 use std::io;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::coop::has_budget_remaining;
 use tokio::time::Instant;
 
 /// What a listener has to accept.
@@ -28,6 +30,10 @@
     pub async fn accept(&mut self) -> io::Result<(TcpStream, Looks)> {
         poll_fn(|context| {
             let accepted = self.listener.poll_accept(context);
+            if accepted.is_pending() && !has_budget_remaining() {
+                // This task has had its share of the turn, whatever there is to be accepted.
+                return Poll::Pending;
+            }
             let was_empty = std::mem::replace(&mut self.is_empty, accepted.is_pending());
             if was_empty || self.is_empty {
                 self.empty_at = self.empty_at.max(self.heartbeat.looked_at());
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -21,6 +21,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::task::coop::has_budget_remaining;
 use tokio::time::{Instant, sleep_until};
 
 /// A peer that takes, or gives, nothing for so long has stopped: several times what a slow one pauses.
@@ -341,7 +342,10 @@
         let found_empty = |at| arrivals.found_empty(at);
         let done = Peer::poll_bytes(&peer.stream, context, buffer, framing.room(), found_empty);
         if done.is_pending() {
-            arrivals.wait();
+            // A task that has had its share of a turn has to wait as well, whatever there is to be read.
+            if has_budget_remaining() {
+                arrivals.wait();
+            }
         } else if buffer.filled().len() > before {
             arrivals.read(|| Some(tcp_info::query(&*peer.stream).ok()?.since_bytes));
         }
@@ -399,19 +403,47 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::heartbeat::Heartbeat;
+    use crate::metrics::Metrics;
     use tokio::io::AsyncReadExt;
     use tokio::net::TcpListener;
     use tokio::time::timeout;
 
+    /// A client's socket, and ours.
+    async fn pair() -> (TcpStream, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let (client, accepted) = tokio::join!(TcpStream::connect(addr), listener.accept());
+        (client.expect("accepted"), accepted.expect("one").0)
+    }
+
+    /// Guards against taking for new what takes many turns to be read.
+    #[tokio::test]
+    async fn what_is_read_in_many_turns_after_a_hold_up_is_as_old_in_the_last_as_in_the_first() {
+        const HELD_UP: Duration = Duration::from_millis(200);
+        /// The system counts in ticks of its own, of 10 ms at most.
+        const TICK: Duration = Duration::from_millis(10);
+        let (client, accepted) = pair().await;
+        let heartbeat = Heartbeat::new();
+        tokio::spawn(heartbeat.clone().beat(Metrics::new(&[])));
+        let (mut peer, heads, _) = Peer::client(accepted, Looks::at_accepted(heartbeat, Instant::now()));
+        assert!(timeout(HELD_UP, peer.read(&mut [0])).await.is_err(), "nothing has come");
+        let text = [b'x'; 2_000];
+        assert_eq!(client.try_write(&text).expect("written"), text.len());
+        // The event loop does not run.
+        std::thread::sleep(HELD_UP);
+        for _ in text {
+            assert_eq!(peer.read(&mut [0]).await.expect("a byte"), 1);
+        }
+        assert!(heads.arrived_at().elapsed() + TICK >= HELD_UP);
+    }
+
     /// Guards against a request or answer that is never read to its end: a read may stop short of what has come, and no
     /// event tells of the rest.
     #[tokio::test]
     async fn after_a_short_read_the_socket_is_asked_again_without_an_event() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let addr = listener.local_addr().expect("an address");
-        let (client, accepted) = tokio::join!(TcpStream::connect(addr), listener.accept());
-        let (client, mut peer) =
-            (client.expect("accepted"), Peer::upstream(accepted.expect("one").0, Arc::default()));
+        let (client, accepted) = pair().await;
+        let mut peer = Peer::upstream(accepted, Arc::default());
         let mut bytes = [0; 99];
         client.try_write(b"part").expect("written");
         assert_eq!(peer.read(&mut bytes).await.expect("some"), 4);
@@ -424,11 +456,8 @@
 
     #[tokio::test(start_paused = true)]
     async fn a_head_that_begins_behind_another_has_a_time_of_its_own() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let addr = listener.local_addr().expect("an address");
-        let (client, accepted) = tokio::join!(TcpStream::connect(addr), listener.accept());
-        let (client, (mut peer, ..)) =
-            (client.expect("accepted"), Peer::client(accepted.expect("one").0, Looks::from_now()));
+        let (client, accepted) = pair().await;
+        let (mut peer, ..) = Peer::client(accepted, Looks::from_now());
         let (mut bytes, late) = ([0; 99], HEAD_PATIENCE - Duration::from_millis(99));
         assert!(timeout(late, peer.read(&mut bytes)).await.is_err(), "nothing has come");
         client.try_write(b"GET / HTTP/1.1\r\n\r\nGET").expect("written");
