What hangs at SIGTERM and may be sent again goes elsewhere before the kill

A request that always may run again waited at a server that hangs until its client's time was over, also where the process may be killed before that: 502 after 20 s in the test, nothing at a kill.

Only what would outlast the process is looked at now, when half of its time until the earliest kill is over: an attempt that has been out for longer than its class's aim then counts as timed out, and the module sends it elsewhere if its own rules and budget allow it. Where deadlines are no longer than those that the kill waits for, nothing changes.

--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -72,6 +72,8 @@
     Module(TimerId),
     Backstop(RequestId),
     PlanEnd,
+    /// What would outlast an ending process is sent elsewhere.
+    LeaveHung,
 }
 
 /// What a sidecar that is part of a fleet keeps for its control plane. Both sides hand over by messages, so that
@@ -103,6 +105,8 @@
     actions: Vec<Action>,
     logged: Option<(Note, Instant)>,
     part: Option<Part>,
+    /// The process ends, and has to have answered by then.
+    ending_by: Option<Instant>,
 }
 
 /// What the wall clock says; it may step.
@@ -132,6 +136,7 @@
             config,
             actions: Vec::new(),
             logged: None,
+            ending_by: None,
             part: dark.map(|dark| {
                 let (tally, zones) = Default::default();
                 Part { tally, zones, dark, plan_ends: Instant::now() }
@@ -190,6 +195,7 @@
                 Some(Reverse((_, Due::Module(timer)))) => self.handle_event(Event::Timer(timer)),
                 Some(Reverse((_, Due::Backstop(id)))) => self.backstop(id),
                 Some(Reverse((_, Due::PlanEnd))) => self.end_plan(),
+                Some(Reverse((_, Due::LeaveHung))) => self.leave_hung(),
                 None => return,
             }
         }
@@ -251,6 +257,12 @@
                 self.ban(servers);
                 let _ = to.send(());
             }
+            Happening::Ending(by) => {
+                self.ending_by = Some(by);
+                let now = Instant::now();
+                let half = by.saturating_duration_since(now) / 2;
+                self.timers.push(Reverse((now + half, Due::LeaveHung)));
+            }
             Happening::Plan(route, ends) => {
                 if let Some(part) = &mut self.part {
                     part.plan_ends = ends;
@@ -272,6 +284,40 @@
         }
     }
 
+    /// Gives up attempts that have been out for longer than an answer is to take, for requests that always may be sent
+    /// again and would outlast the process. Half of its time is left for the next attempt.
+    fn leave_hung(&mut self) {
+        let Some(ending_by) = self.ending_by else { return };
+        let ids: Vec<RequestId> = self.requests.keys().copied().collect();
+        for id in ids {
+            while let Some(attempt) = self.hung_attempt(id, ending_by) {
+                let Some(flight) = self.requests.get_mut(&id).map(|owed| &mut owed.attempts[attempt]) else {
+                    break;
+                };
+                let took = flight.sent.elapsed();
+                flight.out.take().into_iter().for_each(|out| out.abort());
+                tracing::info!(request = id.0, attempt, ?took, "attempt given up: the process ends");
+                let (outcome, progress) = (Outcome::Timeout, Progress::Owed);
+                self.count_outcome(id, attempt, outcome, took);
+                self.handle_event(Event::Outcome { id, attempt, outcome, took, progress });
+            }
+        }
+    }
+
+    /// An attempt of this request that is given up as the process ends.
+    fn hung_attempt(&self, id: RequestId, ending_by: Instant) -> Option<usize> {
+        let owed = self.requests.get(&id)?;
+        let class = self.config.settings.classes.get(owed.class)?;
+        let may_go_elsewhere = class.idempotency == Idempotency::Idempotent
+            && matches!(owed.outbound.body, RequestBody::Held(_))
+            && owed.is_wanted();
+        let outlasts = owed.answer_by.is_some_and(|by| by > ending_by);
+        if !may_go_elsewhere || !outlasts {
+            return None;
+        }
+        owed.attempts.iter().position(|flight| flight.out.is_some() && flight.sent.elapsed() >= class.aim)
+    }
+
     fn accept(&mut self, id: RequestId, inbound: Inbound, answer: oneshot::Sender<Answer>) {
         let ends = inbound.since + inbound.budget;
         let now = Instant::now();
--- a/src/bin/juniperspoke/handle.rs
+++ b/src/bin/juniperspoke/handle.rs
@@ -60,6 +60,8 @@
     Lists(ServerId, oneshot::Sender<bool>),
     /// These are out of use by hand; told once nothing new goes there.
     Banned(Vec<ServerId>, oneshot::Sender<()>),
+    /// The process ends, and may be killed from then on.
+    Ending(Instant),
     /// The fleet's plan, and until when it acts.
     Plan(Arc<Route>, Instant),
     /// Someone takes out what has been counted.
--- a/src/bin/juniperspoke/life.rs
+++ b/src/bin/juniperspoke/life.rs
@@ -74,11 +74,12 @@
         });
     }
 
-    /// Sends clients away for good. The process may be killed after this time.
-    pub fn end(&self, kill_after: Duration) {
+    /// Sends clients away for good. The process may be killed after this time; back by when it has to have answered.
+    pub fn end(&self, kill_after: Duration) -> Instant {
         let answer_by = Instant::now() + kill_after.saturating_sub(KILL_MARGIN);
         self.0.send_modify(|now| now.answer_by = Some(answer_by));
         self.leave(Stage::Ending, |stage| stage != Stage::Ending);
+        answer_by
     }
 
     /// New clients are waited for no more.
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -38,6 +38,7 @@
 use config::{Config, ConfigError};
 use control::Control;
 use driver::Driver;
+use handle::Happening;
 use heartbeat::Heartbeat;
 use life::{Life, Presence};
 use listener::ListenError;
@@ -203,7 +204,7 @@
     }
     tracing::info!("{}: listening on {}", config.name, listener.local_addr()?);
     let listening = tokio::spawn({
-        let server = server.clone();
+        let (server, handle) = (server.clone(), handle.clone());
         async move {
             // Until then whoever comes is the predecessor's.
             while beside && !handle.is_ready() {
@@ -219,7 +220,7 @@
         }
     }
     let (since, kill_after) = (Instant::now(), kill_after(&config));
-    life.end(kill_after);
+    handle.tell(Happening::Ending(life.end(kill_after)));
     tracing::info!(?kill_after, connections = server.connections(), "SIGTERM: ending");
     let listen_for = kill_after.saturating_sub(LISTEN_MARGIN);
     // Newcomers to a socket that the platform holds are its other process's; nobody else has those to this one's.
