Tests: what the reports say of each site is told where a site test waits in vain

The listed test of a site that is cut off fails now and then, and said only that no plan calls the site lost.

--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -219,7 +219,8 @@
     pub fn until(&self, what: &str, within: Duration, mut done: impl FnMut(&Fleet) -> bool) {
         let began = Instant::now();
         while !done(self) {
-            assert!(began.elapsed() < within, "{what}: {:?}", self.newest());
+            let is_late = began.elapsed() >= within;
+            assert!(!is_late, "{what}: {:?}\n{}", self.newest(), self.sights().join("\n"));
             thread::sleep(Duration::from_millis(20));
         }
     }
@@ -251,6 +252,17 @@
         all
     }
 
+    /// What each counting report says of each site: attempts, those left dark, answers, and what it holds of the site.
+    fn sights(&self) -> Vec<String> {
+        let line = |aged: &Aged| {
+            let report = &aged.report;
+            let traffic = report.traffic.iter().map(|t| (t.site.as_str(), t.sent, t.dark, t.answered));
+            let traffic: Vec<_> = traffic.collect();
+            format!("{} of {}: {traffic:?}, {:?}", report.origin, report.site, report.sights)
+        };
+        self.reports().iter().map(line).collect()
+    }
+
     /// Sends a report as a sidecar would, to an instance; answers the status.
     pub fn report(&self, instance: usize, report: &Report) -> u16 {
         let text = serde_json::to_string(report).expect("JSON");
