--- a/tests/stale_requests.rs
+++ b/tests/stale_requests.rs
@@ -169,8 +169,8 @@
     assert_eq!(attempts(&[upstream]).len(), 0);
 }
 
-/// Incident 906fe8: servers whose connections came up while the process was stopped were held to be unreachable, and their
-/// zone with them.
+/// Guards against holding servers to be unreachable, and their zone with them, whose connections came up while the process
+/// was stopped.
 #[test]
 fn servers_whose_connections_came_up_while_the_process_was_stopped_are_not_unreachable() {
     let (upstream, listener, _first) = Upstream::crowded();
@@ -244,7 +244,7 @@
     waiting.iter_mut().for_each(|client| assert_eq!(Answer::read(client).whole(), (200, "served")));
 }
 
-/// Incident 906fe8: servers whose answers came while the process was stopped were ejected as it went on.
+/// Guards against ejecting servers for answers that came while the process was stopped.
 #[test]
 fn servers_whose_answers_came_while_the_process_was_stopped_are_not_blamed() {
     let gate = Gate::default();
