--- a/src/bin/juniperspoke/bodies.rs
+++ b/src/bin/juniperspoke/bodies.rs
@@ -365,10 +365,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::connection::BUFFER;
     use crate::heartbeat::{Heartbeat, Looks};
     use crate::metrics::Metrics;
     use crate::peer::Peer;
-    use crate::upstream::BUFFER;
     use hyper::service::service_fn;
     use hyper::{Request, Response, server::conn::http1};
     use hyper_util::rt::TokioIo;
--- a/src/bin/juniperspoke/calls.rs
+++ b/src/bin/juniperspoke/calls.rs
@@ -1,7 +1,7 @@
 //! How a call of the sidecar's own, for the list, the plan or with a report, goes wrong.
 
+use crate::connection::OpenError;
 use crate::list::ListError;
-use crate::upstream::OpenError;
 use hyper::StatusCode;
 use micapier::fleet::plan::PlanError;
 
--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -2,10 +2,10 @@
 
 use crate::calls::CallError;
 use crate::config::Config;
+use crate::connection::TcpConnection;
 use crate::handle::{Handle, Happening};
 use crate::instances::Instances;
 use crate::list::{self, ListError, News};
-use crate::upstream::TcpConnection;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
--- a/src/bin/juniperspoke/fleet.rs
+++ b/src/bin/juniperspoke/fleet.rs
@@ -3,9 +3,9 @@
 
 use crate::calls::CallError;
 use crate::config::{Config, FleetCalls};
+use crate::connection::TcpConnection;
 use crate::handle::{Handle, Happening};
 use crate::instances::Instances;
-use crate::upstream::TcpConnection;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -10,6 +10,7 @@
 mod budget;
 mod calls;
 mod config;
+mod connection;
 mod control;
 mod discovery;
 mod driver;
@@ -36,6 +37,7 @@
 use budget::Budget;
 use clap::Parser;
 use config::{Config, ConfigError};
+use connection::BUFFER;
 use control::Control;
 use driver::Driver;
 use handle::Happening;
@@ -55,7 +57,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 use tracing_subscriber::EnvFilter;
-use upstream::{BUFFER, Upstreams};
+use upstream::Upstreams;
 
 /// Descriptors for all that is no connection of the application or to upstreams: the listener, discovery, logs.
 const RESERVED: usize = 16;
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -6,37 +6,27 @@
 use crate::answer::{AnswerBody, AnswerStream, StreamEnd, read_answer};
 use crate::bodies::{HELD, Outgoing, RequestBody, Sent};
 use crate::budget::Budget;
+use crate::connection::{OpenError, TcpConnection};
 use crate::idle::IdleLimit;
 use crate::leaving::RequestEnd;
 use crate::metrics::{Count, Metrics};
-use crate::peer::Peer;
-use crate::system::{is_late, is_local, read_what_has_come, ready_by_what_has_come, wait_until};
-use crate::write_gate::WriteGate;
+use crate::system::{is_late, read_what_has_come, ready_by_what_has_come, wait_until};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Body;
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
-use hyper_util::rt::TokioIo;
 use micapier::api::Outcome;
 use micapier::staleness::DECISION_HOLDS;
 use serde_json::Value;
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpSocket;
 use tokio::sync::watch;
-use tokio::task::{AbortHandle, yield_now};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// The most that is read ahead on a connection, and so the longest head of an answer, and the most that waits to
-/// be written: little enough that bodies on every connection cannot fill the memory.
-pub const BUFFER: usize = 16 * 1024;
 /// A kept connection is not used in this last part of the time after which the upstream closes it.
 const IDLE_MARGIN: u32 = 10;
 /// A connection rests for so long after an answer: one that should not be there may come some milliseconds later,
@@ -45,71 +35,6 @@
 /// Idle connections kept to one upstream.
 const IDLE_EACH: usize = 8;
 
-/// Why there is no connection.
-#[derive(Debug, thiserror::Error)]
-pub enum OpenError {
-    /// There was no socket to be had, which says nothing of the other side.
-    #[error("no socket: {0}")]
-    Ours(io::Error),
-    #[error(transparent)]
-    Theirs(io::Error),
-}
-
-impl OpenError {
-    fn of_connect(error: io::Error) -> OpenError {
-        if is_local(&error) { OpenError::Ours(error) } else { OpenError::Theirs(error) }
-    }
-}
-
-/// A connection whose socket closes with it, in one of the next turns.
-pub struct TcpConnection<B> {
-    pub sender: SendRequest<B>,
-    opened: Instant,
-    task: AbortHandle,
-    gate: Arc<WriteGate>,
-}
-
-impl<B> TcpConnection<B>
-where
-    B: Body + Send + 'static,
-    B::Data: Send,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    /// `place` is kept until the socket has closed.
-    pub async fn open(addr: SocketAddr, place: impl Send + 'static) -> Result<Self, OpenError> {
-        let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
-        let connected = socket.map_err(OpenError::Ours)?.connect(addr).await;
-        let stream = connected.map_err(OpenError::of_connect)?;
-        stream.set_nodelay(true).map_err(OpenError::Theirs)?;
-        let (mut http, gate) = (http1::Builder::new(), Arc::<WriteGate>::default());
-        let peer = Peer::upstream(stream, gate.clone());
-        let handshake = http.max_buf_size(BUFFER).handshake(TokioIo::new(peer));
-        let (sender, connection) =
-            handshake.await.map_err(|error| OpenError::Theirs(io::Error::other(error)))?;
-        let task = tokio::spawn(async move {
-            // What breaks it is told to the request on it.
-            drop(connection.await);
-            drop(place);
-        });
-        let (opened, task) = (Instant::now(), task.abort_handle());
-        Ok(TcpConnection { sender, opened, task, gate })
-    }
-
-    /// Back once its socket has closed.
-    async fn close(self) {
-        self.task.abort();
-        while !self.task.is_finished() {
-            yield_now().await;
-        }
-    }
-}
-
-impl<B> Drop for TcpConnection<B> {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// Where an attempt goes; the driver closes it when the list takes the upstream or its address back.
 pub struct Target {
     pub addr: SocketAddr,
@@ -566,9 +491,11 @@
     use super::*;
     use crate::leaving::End;
     use std::future::poll_fn;
+    use std::io;
     use std::task::Poll;
-    use tokio::net::{TcpListener, TcpStream};
+    use tokio::net::{TcpListener, TcpSocket, TcpStream};
     use tokio::sync::mpsc::{self, UnboundedReceiver};
+    use tokio::task::yield_now;
     use tokio::time::advance;
 
     const LONG: Duration = Duration::from_secs(30);
