Tests: stops with requests out wait for all of them, however they are spread

Traced with the log at debug, 24 busy processes beside it: 25 of 360 rounds spread the eight requests 7 to 1. The first attempt had been out for 6 ms when the second request was read (the process had no processor in between), and while nothing has been answered its age is the only estimate there is: 6 ms times two against nothing, so all the others go to the other server. All eight were out in each of the 360 rounds. The test took an even spread for granted.

It now waits for all eight, whichever server has them. Their clients wait for 1 s in place of 0.14 s, and so does that of the test before it, and each stop lasts until that is over: on a busy machine their time could end before the process was stopped, as servers that answer late. Clients that hold all places do so by a head that they have begun, for which the limit is 2.3 s, not by silence, which ends after 0.5 s.

--- a/tests/stale_requests.rs
+++ b/tests/stale_requests.rs
@@ -18,6 +18,8 @@
 const HOLD_UP: Duration = Duration::from_millis(460);
 /// How long the clients wait that leave meanwhile.
 const BUDGET: Duration = Duration::from_millis(140);
+/// How long clients wait whose requests are out before the process is stopped.
+const OUT_FOR: Duration = Duration::from_secs(1);
 /// An attempt may begin so long after its client has closed.
 const MAY_BEGIN: Duration = Duration::from_millis(100);
 /// What a deadline that is passed on may be too long by.
@@ -158,13 +160,18 @@
 #[test]
 fn nothing_is_sent_on_for_clients_that_left_before_they_were_accepted() {
     let (upstream, sidecar) = served(|config| config["limits"]["sockets"] = json!(40));
-    // They take all places, and are asked to give way only after a time.
-    let silent: Vec<_> = (0..60).map(|_| sidecar.connect()).collect();
+    // They take all places, each with a head that it has begun.
+    let begun = |_| {
+        let mut client = sidecar.connect();
+        client.write_all(b"G").expect("written");
+        client
+    };
+    let slow: Vec<_> = (0..60).map(begun).collect();
     let waiting: Vec<_> = (0..5).map(|_| sidecar.send(&call("pay", 20.0).path(THEIRS))).collect();
     sleep(MAY_BEGIN);
     drop(waiting);
     sleep(MAY_BEGIN);
-    drop(silent);
+    drop(slow);
     sidecar.serves(1, 20.0);
     assert_eq!(attempts(&[upstream]).len(), 0);
 }
@@ -234,12 +241,13 @@
 #[test]
 fn answers_that_came_while_the_process_was_stopped_are_passed_on() {
     let (gate, upstream, sidecar) = gated(alone);
-    let calls = CLASSES.map(|(class, method)| call(class, BUDGET.as_secs_f64()).method(method));
+    let calls = CLASSES.map(|(class, method)| call(class, OUT_FOR.as_secs_f64()).method(method));
     let mut waiting = calls.map(|call| sidecar.send(&call));
+    let sent_at = Instant::now();
     upstream.wait_for("both requests", |state| state.requests.len() == CLASSES.len());
     sidecar.pause_at_rest();
     gate.open();
-    sleep(HOLD_UP);
+    sleep((OUT_FOR + HOLD_UP).saturating_sub(sent_at.elapsed()));
     sidecar.signal(Signal::SIGCONT);
     waiting.iter_mut().for_each(|client| assert_eq!(Answer::read(client).whole(), (200, "served")));
 }
@@ -247,6 +255,7 @@
 /// Guards against ejecting servers for answers that came while the process was stopped.
 #[test]
 fn servers_whose_answers_came_while_the_process_was_stopped_are_not_blamed() {
+    const COUNT: usize = 8;
     let gate = Gate::default();
     let of = gate.clone();
     let upstreams = twins(move |seen| {
@@ -259,14 +268,13 @@
         with_door(config);
         alone(config);
     });
-    let call = || call("look", BUDGET.as_secs_f64()).method("GET").path(THEIRS);
-    let mut waiting: Vec<_> = (0..8).map(|_| sidecar.send(&call())).collect();
-    for upstream in &upstreams {
-        upstream.wait_for("some requests", |state| state.requests.len() >= 2);
-    }
+    let call = || call("look", OUT_FOR.as_secs_f64()).method("GET").path(THEIRS);
+    let mut waiting: Vec<_> = (0..COUNT).map(|_| sidecar.send(&call())).collect();
+    let sent_at = Instant::now();
+    wait("their requests", || attempts(&upstreams).len() == COUNT);
     sidecar.pause_at_rest();
     gate.open();
-    sleep(HOLD_UP);
+    sleep((OUT_FOR + HOLD_UP).saturating_sub(sent_at.elapsed()));
     sidecar.signal(Signal::SIGCONT);
     waiting.iter_mut().for_each(|client| drop(Answer::read(client)));
     assert_eq!(sidecar.figure("hosts_down"), 0);
