The time until SIGKILL counts from when SIGTERM may have come

Callers of an ending process got no answer: it was stopped as SIGTERM came, went on 0.46 s later, and gave requests that came after that time until 0.11 s after the earliest SIGKILL. The margin before the kill covers a hold-up of 0.15 s alone.

The signal can have come at any time since the event loop last looked, which the heartbeat tells: the kill is reckoned with from there. How long newcomers are waited for still counts from when the signal is heard, since they come after it. In a process that is not held up the two are 50 ms apart at most.

The new test failed before ("an answer": the connection broke, killed at 2.2 s); it stops the process for 0.46 and 1 s.

--- a/src/bin/juniperspoke/life.rs
+++ b/src/bin/juniperspoke/life.rs
@@ -74,9 +74,10 @@
         });
     }
 
-    /// Sends clients away for good. The process may be killed after this time; back by when it has to have answered.
-    pub fn end(&self, kill_after: Duration) -> Instant {
-        let answer_by = Instant::now() + kill_after.saturating_sub(KILL_MARGIN);
+    /// Sends clients away for good. The process may be killed from then on; back by when it has to have answered.
+    pub fn end(&self, kill_at: Instant) -> Instant {
+        let now = Instant::now();
+        let answer_by = now + kill_at.saturating_duration_since(now).saturating_sub(KILL_MARGIN);
         self.0.send_modify(|now| now.answer_by = Some(answer_by));
         self.leave(Stage::Ending, |stage| stage != Stage::Ending);
         answer_by
@@ -145,7 +146,7 @@
         assert_eq!((life.stage(), life.watch().borrow().close_idle), (Stage::Serving, None));
         life.drain();
         let kill_after = 3 * KILL_MARGIN;
-        life.end(kill_after);
+        life.end(Instant::now() + kill_after);
         life.undrain();
         life.drain();
         assert_eq!(life.stage(), Stage::Ending);
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -190,7 +190,7 @@
         metrics.clone(),
         budget,
         clients.max(1),
-        heartbeat,
+        heartbeat.clone(),
     );
     let mut operators = None;
     if let Some(listener) = control {
@@ -224,8 +224,11 @@
             return Err(io::Error::other(format!("the driver ended: {ended:?}")).into());
         }
     }
-    let (since, kill_after) = (Instant::now(), kill_after(&config));
-    handle.tell(Happening::Ending(life.end(kill_after)));
+    let heard_at = Instant::now();
+    // It may have come at any time since the event loop last looked.
+    let kill_at = heartbeat.looked_at() + kill_after(&config);
+    handle.tell(Happening::Ending(life.end(kill_at)));
+    let kill_after = kill_at.saturating_duration_since(heard_at);
     tracing::info!(?kill_after, connections = server.connections(), "SIGTERM: ending");
     let listen_for = kill_after.saturating_sub(LISTEN_MARGIN);
     // Newcomers to a socket that the platform holds are its other process's; nobody else has those to this one's.
@@ -233,19 +236,19 @@
         listening.abort();
     }
     let over = || if shared { server.is_empty() } else { server.is_quiet(QUIET) };
-    while !shared && since.elapsed() < NEWCOMERS || since.elapsed() < listen_for && !over() {
+    while !shared && heard_at.elapsed() < NEWCOMERS || heard_at.elapsed() < listen_for && !over() {
         sleep(LOOK).await;
     }
     // What is owed then has its time: an end over it would lose what SIGKILL may find unanswered.
-    tracing::info!(after = ?since.elapsed(), connections = server.connections(), "accepts no more connections");
+    tracing::info!(after = ?heard_at.elapsed(), connections = server.connections(), "accepts no more connections");
     life.close_all();
     server.stop();
     // The next process at these addresses waits for both; where another ran beside this one, it has a door of its own.
     operators.filter(|_| !shared).inspect(JoinHandle::abort);
-    while since.elapsed() < END_TIMEOUT && !(listening.is_finished() && server.is_empty()) {
+    while heard_at.elapsed() < END_TIMEOUT && !(listening.is_finished() && server.is_empty()) {
         sleep(LOOK).await;
     }
-    tracing::info!(after = ?since.elapsed(), connections = server.connections(), "ended");
+    tracing::info!(after = ?heard_at.elapsed(), connections = server.connections(), "ended");
     Ok(())
 }
 
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -28,9 +28,9 @@
 /// A request that comes later than this after SIGTERM is owed its answer before SIGKILL.
 const OWED_AFTER: Duration = Duration::from_millis(700);
 
-/// Incident 315391: requests that came late in a shutdown were sent on and had no answer when SIGKILL came.
-#[test]
-fn a_request_that_comes_late_in_a_shutdown_is_answered_before_the_earliest_sigkill() {
+/// Requests that come late in a shutdown have no answer from their server. The process is stopped from before SIGTERM until so
+/// long after, if at all.
+fn late_requests_are_answered_before_the_kill(stopped_for: Option<Duration>) {
     let (upstream, mut sidecar) = answered(
         |_| Reply::Silence,
         |config| {
@@ -45,14 +45,25 @@
     upstream.wait_for("the request", |state| state.requests.len() == 1);
     let mut late: Vec<_> = (0..4).map(|_| sidecar.connect()).collect();
     has_read(&sidecar);
+    if stopped_for.is_some() {
+        sidecar.pause_at_rest();
+    }
     let sigterm = Instant::now();
     sidecar.terminate();
+    let wait_until = |after: Duration| std::thread::sleep(after.saturating_sub(sigterm.elapsed()));
     std::thread::scope(|scope| {
         scope.spawn(|| {
-            std::thread::sleep(SIGKILL_AFTER.saturating_sub(sigterm.elapsed()));
+            wait_until(SIGKILL_AFTER);
             sidecar.signal(Signal::SIGKILL);
         });
-        std::thread::sleep(OWED_AFTER + Duration::from_millis(100) - sigterm.elapsed());
+        if let Some(after) = stopped_for {
+            let sidecar = &sidecar;
+            scope.spawn(move || {
+                wait_until(after);
+                sidecar.signal(Signal::SIGCONT);
+            });
+        }
+        wait_until(OWED_AFTER + Duration::from_millis(100));
         for client in &mut late {
             client.write_all(call("pay", budget).text().as_bytes()).expect("written");
         }
@@ -64,6 +75,21 @@
     sidecar.exit_code();
 }
 
+/// Incident 315391: requests that came late in a shutdown were sent on and had no answer when SIGKILL came.
+#[test]
+fn a_request_that_comes_late_in_a_shutdown_is_answered_before_the_earliest_sigkill() {
+    late_requests_are_answered_before_the_kill(None);
+}
+
+/// Incident 906fe8, its class: the time until SIGKILL was counted from when the process heard of SIGTERM, and it was stopped as
+/// that came.
+#[test]
+fn a_process_that_hears_of_sigterm_late_answers_before_the_earliest_sigkill() {
+    for stopped_for_ms in [460, 1_000] {
+        late_requests_are_answered_before_the_kill(Some(Duration::from_millis(stopped_for_ms)));
+    }
+}
+
 #[test]
 fn an_ending_sidecar_stays_for_what_is_owed_after_it_listens_no_more() {
     let (gate, upstream, mut sidecar) = gated(short);
