--- a/tests/stale_requests.rs
+++ b/tests/stale_requests.rs
@@ -26,6 +26,8 @@
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
 /// Who connects is owed an error or a close by then, whatever it sends.
 const OWED_WITHIN: Duration = Duration::from_secs(3);
+/// Nothing is sent to a server so long after its drain was told.
+const DRAIN_GRACE: Duration = Duration::from_millis(1_050);
 /// Tells the requests of these clients apart.
 const THEIRS: &str = "/theirs";
 
@@ -280,3 +282,31 @@
     assert_eq!(sidecar.figure("hosts_down"), 0);
     sidecar.serves(4, 5.0);
 }
+
+/// Incident 906fe8, its class: a drain that was told while the process was stopped counts from then, and the requests that came
+/// meanwhile are read sooner than the list.
+#[test]
+fn what_came_while_the_process_was_stopped_is_not_sent_to_a_server_that_drains_since() {
+    let upstreams = twins(|_| ok("served"));
+    let sidecar = Sidecar::with(&upstreams.each_ref(), alone);
+    let [drains, stays] = &upstreams;
+    let ready = [drains.line("Ready"), stays.line("Ready")];
+    sidecar.discovery.tell(2, true, &ready);
+    let mut waiting: Vec<_> = (0..8).map(|_| sidecar.kept()).collect();
+    sidecar.pause_at_rest();
+    // As long as the list of a large fleet.
+    let others = (0..400).map(|number| {
+        let mut line = drains.line("Terminating");
+        line["id"] = json!(format!("s-{number}"));
+        line
+    });
+    let told: Vec<_> = others.chain([drains.line("Terminating")]).collect();
+    sidecar.discovery.say(3, false, &told);
+    for client in &mut waiting {
+        client.write_all(call("pay", 20.0).path(THEIRS).text().as_bytes()).expect("written");
+    }
+    sleep(DRAIN_GRACE);
+    sidecar.signal(Signal::SIGCONT);
+    waiting.iter_mut().for_each(|client| assert_eq!(Answer::read(client).whole(), (200, "served")));
+    assert_eq!(attempts(std::slice::from_ref(drains)).len(), 0);
+}
