A long request, too, is not written where what was decided holds no more

They were left out since what has been read of such a body could not be sent again; but a request that goes nowhere is refused, as after any attempt of which nothing was written, and that is allowed.

The new half of the test failed before: the attempt had begun.

--- a/src/bin/juniperspoke/bodies.rs
+++ b/src/bin/juniperspoke/bodies.rs
@@ -363,7 +363,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
     use crate::connection::BUFFER;
     use crate::heartbeat::{Heartbeat, Looks};
@@ -378,18 +378,41 @@
     use tokio::sync::mpsc::unbounded_channel;
     use tokio::time::sleep;
 
-    /// Reads two pieces a second of a body that begins so, and goes on after 10 s: how many there were, and when, in
-    /// seconds from the start, its client was last known to write.
-    async fn read_slowly(begins: String, goes_on: &str) -> (usize, u64) {
+    /// A client that has written a request's head, and how that is read. The clock is the test's, the system's is not: no
+    /// look at the sockets is ever long ago.
+    async fn client(head: &str) -> (std::net::TcpStream, Peer, Heads) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         let mut client = std::net::TcpStream::connect(addr).expect("a connection");
-        client.write_all(format!("POST / HTTP/1.1\r\n{begins}").as_bytes()).expect("written");
-        // The clock is the test's, the system's is not: no look at the sockets is ever long ago.
+        client.write_all(head.as_bytes()).expect("written");
         let heartbeat = Heartbeat::new();
         spawn(heartbeat.clone().beat(Metrics::new(&[])));
         let looks = Looks::at_accepted(heartbeat, Instant::now());
         let (peer, heads, _socket) = Peer::client(listener.accept().await.expect("a connection").0, looks);
+        (client, peer, heads)
+    }
+
+    /// A body that is passed on as it comes, of which some has come, and its client.
+    pub async fn open_body() -> (std::net::TcpStream, RequestBody) {
+        let head = format!("POST / HTTP/1.1\r\nContent-Length: {}\r\n\r\nbegun", HELD + 1);
+        let (client, peer, heads) = client(&head).await;
+        let (told, mut heard) = unbounded_channel();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let intake = Intake::new(request.into_body(), Duration::from_secs(60), heads.clone());
+            let told = told.clone();
+            async move {
+                told.send(intake.read(|_| None).await.expect("a body")).expect("heard");
+                std::future::pending::<Result<Response<String>, BodyError>>().await
+            }
+        });
+        spawn(async move { http1::Builder::new().serve_connection(TokioIo::new(peer), service).await });
+        (client, heard.recv().await.expect("a body"))
+    }
+
+    /// Reads two pieces a second of a body that begins so, and goes on after 10 s: how many there were, and when, in
+    /// seconds from the start, its client was last known to write.
+    async fn read_slowly(begins: String, goes_on: &str) -> (usize, u64) {
+        let (mut client, peer, heads) = client(&format!("POST / HTTP/1.1\r\n{begins}")).await;
         let (start, (told, mut heard)) = (Instant::now(), unbounded_channel());
         let service = service_fn(|request: Request<Incoming>| {
             let mut intake = Intake::new(request.into_body(), Duration::from_secs(60), heads.clone());
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -299,11 +299,8 @@
                 let idle_since = now.checked_sub(pooled.idle_for).unwrap_or(now);
                 return self.keep(target.addr, pooled, idle_since);
             }
-            // What has been read of a body that is not held could not be sent again.
-            if matches!(outbound.body, RequestBody::Held(_)) {
-                let may_be_written = still_holds(&target, &outbound, begin_by.unwrap_or(by).min(by), now);
-                pooled.connection.gate.begin_while(may_be_written);
-            }
+            let may_be_written = still_holds(&target, &outbound, begin_by.unwrap_or(by).min(by), now);
+            pooled.connection.gate.begin_while(may_be_written);
             let answer = {
                 let answer = self.answer(&mut pooled, self.request(&outbound, by - now));
                 tokio::pin!(answer);
@@ -489,6 +486,7 @@
 #[cfg(test)]
 pub mod tests {
     use super::*;
+    use crate::bodies::tests::open_body;
     use crate::leaving::End;
     use std::future::poll_fn;
     use std::io;
@@ -516,7 +514,7 @@
     async fn begin(
         upstreams: &Upstreams, addr: SocketAddr, open: bool, terms: Terms, wanted: bool,
     ) -> UnboundedReceiver<Step> {
-        let outbound = outbound(RequestEnd::never());
+        let outbound = outbound(RequestBody::Held(Bytes::new()), RequestEnd::never());
         if !wanted {
             outbound.end.settle();
         }
@@ -526,12 +524,12 @@
         steps
     }
 
-    fn outbound(end: RequestEnd) -> Arc<Outbound> {
+    fn outbound(body: RequestBody, end: RequestEnd) -> Arc<Outbound> {
         Arc::new(Outbound {
             method: Method::POST,
             uri: Uri::from_static("/api"),
             headers: HeaderMap::new(),
-            body: RequestBody::Held(Bytes::new()),
+            body,
             end,
         })
     }
@@ -595,6 +593,20 @@
     /// client may have left, its time be over, its upstream drain.
     #[tokio::test(start_paused = true)]
     async fn what_was_decided_before_a_hold_up_is_not_written_after_it() {
+        for is_held in [true, false] {
+            let (_client, body) = match is_held {
+                true => (None, RequestBody::Held(Bytes::new())),
+                false => {
+                    let (client, body) = open_body().await;
+                    (Some(client), body)
+                }
+            };
+            assert_eq!(written_after_a_hold_up(body).await, "", "{is_held}");
+        }
+    }
+
+    /// What an upstream reads of a request with this body, whose client leaves in a hold-up after it was decided on.
+    async fn written_after_a_hold_up(body: RequestBody) -> String {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (to, addr) = (upstreams(4, LONG), listener.local_addr().expect("an address"));
         let pooled = to.connection(addr, Instant::now() + LONG).await.expect("a connection");
@@ -610,7 +622,7 @@
             asking.fetch_add(1, Ordering::Relaxed);
             None
         };
-        let outbound = outbound(Arc::new(End::new(ask)).of_request(false));
+        let outbound = outbound(body, Arc::new(End::new(ask)).of_request(false));
         let attempt = to.clone().attempt(target(addr, true), outbound.clone(), terms(LONG), Arc::new(report));
         let mut attempt = Box::pin(attempt);
         loop {
@@ -625,7 +637,7 @@
         attempt.await;
         assert!(matches!(steps.recv().await, Some(Step::Ended(Outcome::Moot, _))));
         drop(to);
-        assert_eq!(read(&accepted).await, "");
+        read(&accepted).await
     }
 
     /// Nobody accepts there: since the backlog is full, no further connection comes up.
