A request whose first byte waits for room is asked about again before it is written

It was written later without being asked about: after a hold-up, for a client that had left, or with a deadline that was too long. A connection has no room at a request's start where its server answered the one before without reading it to its end.

The gate now opens with the first bytes that are written, not with the question. The new test failed before: the bytes were written.

--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -309,7 +309,10 @@
             }
             match retry_interrupted(|| write(&self.stream)) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => break Poll::Ready(written),
+                written => {
+                    self.gate.note_written();
+                    break Poll::Ready(written);
+                }
             }
         };
         self.written(done, context)
@@ -405,7 +408,7 @@
     use super::*;
     use crate::heartbeat::Heartbeat;
     use crate::metrics::Metrics;
-    use tokio::io::AsyncReadExt;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
     use tokio::time::timeout;
 
@@ -438,6 +441,31 @@
         assert!(heads.arrived_at().elapsed() + TICK >= HELD_UP);
     }
 
+    /// Guards against a request that goes out late: there was no room for its first byte as it was asked about.
+    #[tokio::test]
+    async fn a_request_that_waits_for_room_is_asked_about_again_before_its_first_byte() {
+        let (gate, holds) = (Arc::<WriteGate>::default(), Arc::new(AtomicBool::new(true)));
+        let (upstream, connected) = pair().await;
+        let mut peer = Peer::upstream(connected, gate.clone());
+        let at_once = Duration::from_millis(50);
+        // Of a request that was answered before all of it was read. The runtime does not know that there is no more room.
+        while SockRef::from(&*peer.stream).send(&[0; 65_536]).is_ok() {}
+        let asked = holds.clone();
+        gate.begin_while(move || asked.load(Ordering::Relaxed));
+        assert!(timeout(at_once, peer.write(b"GET")).await.is_err(), "there is no room");
+        holds.store(false, Ordering::Relaxed);
+        let mut read = vec![0; 1 << 20];
+        let mut writing = Box::pin(peer.write(b"GET"));
+        let written = loop {
+            tokio::select! {
+                written = &mut writing => break written,
+                readable = upstream.readable() => readable.expect("open"),
+            }
+            drop(upstream.try_read(&mut read));
+        };
+        assert!(written.is_err() && gate.has_stopped(), "{written:?}");
+    }
+
     /// Guards against a request or answer that is never read to its end: a read may stop short of what has come, and no
     /// event tells of the rest.
     #[tokio::test]
--- a/src/bin/juniperspoke/write_gate.rs
+++ b/src/bin/juniperspoke/write_gate.rs
@@ -33,10 +33,20 @@
     /// May the bytes be written that come now?
     pub fn passes(&self) -> bool {
         let mut passage = self.passage();
-        if let Passage::While(holds) = &*passage {
-            *passage = if holds() { Passage::Open } else { Passage::Closed };
+        if let Passage::While(holds) = &*passage
+            && !holds()
+        {
+            *passage = Passage::Closed;
+        }
+        !matches!(*passage, Passage::Closed)
+    }
+
+    /// Some has been written: the request has begun, and goes on to its end.
+    pub fn note_written(&self) {
+        let mut passage = self.passage();
+        if let Passage::While(_) = *passage {
+            *passage = Passage::Open;
         }
-        matches!(*passage, Passage::Open)
     }
 
     /// Has it stopped a request, of which nothing has been written then?
@@ -48,13 +58,20 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::sync::Arc;
+    use std::sync::atomic::{AtomicBool, Ordering};
 
     #[test]
     fn only_the_first_bytes_of_a_request_are_asked_about() {
         let gate = WriteGate::default();
         assert!(gate.passes());
-        gate.begin_while(|| true);
+        let holds = Arc::new(AtomicBool::new(true));
+        let asked = holds.clone();
+        gate.begin_while(move || asked.load(Ordering::Relaxed));
         assert!(gate.passes());
+        gate.note_written();
+        holds.store(false, Ordering::Relaxed);
+        assert!(gate.passes(), "it goes on");
         gate.begin_while(|| false);
         assert!(!gate.has_stopped(), "nobody has written yet");
         assert!(!gate.passes());
