--- a/tests/shutdown_soak.rs
+++ b/tests/shutdown_soak.rs
@@ -15,6 +15,8 @@
 const NEW_CONNECTIONS: Duration = Duration::from_millis(400);
 /// SIGKILL follows SIGTERM after the longest deadline and this.
 const KILL_GRACE: Duration = Duration::from_millis(700);
+/// A process that is stopped goes on so long before SIGKILL at least, to answer what it owes.
+const TIME_TO_ANSWER: Duration = Duration::from_millis(100);
 
 /// A process that is held up as it ends goes on in between.
 const HOLD_UP_SPACING: Duration = Duration::from_millis(400);
@@ -22,7 +24,7 @@
 /// Plays one seed, and tells what broke a rule.
 fn play(seed: u64) -> Vec<String> {
     let mut lot = Rng::with_seed(seed ^ 0x5eed);
-    let mut stage = Stage::start(seed, Setting { crowd: lot.u32(0..3) == 0, ..Setting::default() });
+    let stage = Stage::start(seed, Setting { crowd: lot.u32(0..3) == 0, ..Setting::default() });
     thread::sleep(Duration::from_millis(lot.u64(300..1_000)));
     if lot.bool() {
         stage.sidecar.signal(Signal::SIGHUP);
@@ -42,6 +44,11 @@
         thread::sleep(Duration::from_millis(lot.u64(0..HOLD_UP_SPACING.as_millis() as u64 / 2)));
         stage.hold_up(&mut lot);
     }
+    ended(stage, sigterm, kill)
+}
+
+/// Kills the process then, and tells what broke a rule since SIGTERM.
+fn ended(mut stage: Stage, sigterm: Instant, kill: Instant) -> Vec<String> {
     thread::sleep(kill.saturating_duration_since(Instant::now()));
     let at = Instant::now();
     stage.sidecar.signal(Signal::SIGKILL);
@@ -50,8 +57,30 @@
     stage.play.breaks(&End { from: sigterm, at, was_killed, closes_idle: true })
 }
 
+/// The same for a process that hears of SIGTERM late: it is stopped as that comes, for up to a second.
+fn play_late_hearing(seed: u64) -> Vec<String> {
+    let mut lot = Rng::with_seed(seed ^ 0x1a7e);
+    let (crowd, accept_errors) = (lot.u32(0..3) == 0, lot.u32(0..3) == 0);
+    let stage = Stage::start(seed, Setting { crowd, accept_errors, impatient: lot.bool() });
+    thread::sleep(Duration::from_millis(lot.u64(300..1_000)));
+    let before = Duration::from_millis(lot.u64(0..300));
+    let rest = stage.play.deadline + KILL_GRACE - TIME_TO_ANSWER;
+    let after = rest.min(Duration::from_secs(1)).mul_f64(lot.f64());
+    let sigterm = stage.stop_around(before, after, |sidecar| sidecar.terminate());
+    let kill = sigterm + stage.play.deadline + KILL_GRACE;
+    thread::sleep((sigterm + NEW_CONNECTIONS).saturating_duration_since(Instant::now()));
+    stage.play.closed.store(true, Ordering::SeqCst);
+    ended(stage, sigterm, kill)
+}
+
 /// Incident 315391, and what else a shutdown may lose.
 #[test]
 fn no_seeded_shutdown_loses_a_request_that_was_taken() {
     play_seeds(play);
 }
+
+/// Incident 906fe8, its class: what a shutdown may lose that is heard of late.
+#[test]
+fn no_seeded_shutdown_that_is_heard_of_late_loses_a_request_that_was_taken() {
+    play_seeds(play_late_hearing);
+}
--- a/tests/soak/mod.rs
+++ b/tests/soak/mod.rs
@@ -372,14 +372,23 @@
 
     /// Stops the process for so long.
     pub fn stop(&self, time: Duration) {
+        self.stop_around(time, Duration::ZERO, |_| ());
+    }
+
+    /// Stops the process for so long before and after this is done to it, and tells when that was.
+    pub fn stop_around(&self, before: Duration, after: Duration, act: impl FnOnce(&Sidecar)) -> Instant {
         // It may have ended, and be waiting for its parent.
         let from = Instant::now();
         self.sidecar.signal(Signal::SIGSTOP);
-        thread::sleep(time);
+        thread::sleep(before);
+        let at = Instant::now();
+        act(&self.sidecar);
+        thread::sleep(after);
         self.sidecar.signal(Signal::SIGCONT);
-        if time > Duration::from_millis(HOLD_UP_MS) {
+        if before + after > Duration::from_millis(HOLD_UP_MS) {
             self.play.stops.lock().expect("no panic").push((from, Instant::now()));
         }
+        at
     }
 
     /// No client asks any more; back once all have ended.
