A call on a socket that lacks memory, or whose end is not known, is made again

Callers lost requests that had been read: where the system had no memory for one read or write (ENOMEM, ENOBUFS), the client's connection ended with no answer, and a server's as a reset, after which a request that must not run twice failed. The error was taken for the connection's end; it says nothing of it.

Reads and writes are made again after a pause of 1 to 20 ms, for 5 s at most, and so is the question whether something has come. The pauses are those after errors of accept, which now stand in one place. The library that makes accept fail in tests makes the other calls on sockets fail or wait as well, and is built again where it is older than its source.

--- a/src/bin/juniperspoke/accept.rs
+++ b/src/bin/juniperspoke/accept.rs
@@ -1,7 +1,7 @@
 //! Connections of clients that wait to be accepted, perhaps for long.
 
 use crate::heartbeat::{Heartbeat, Looks};
-use crate::system::is_shortage;
+use crate::system::{Backoff, is_shortage};
 use std::future::poll_fn;
 use std::io;
 use std::task::Poll;
@@ -48,16 +48,12 @@
 /// So many errors in a row may be of one connection each. Guards against a listener that can't accept at all: it would be
 /// asked without a pause.
 const AT_ONCE: u32 = 16;
-/// The waits after the first error of a shortage, and after the next ones, each twice the one before.
-const FIRST_WAIT: Duration = Duration::from_millis(1);
-const LONGEST_WAIT: Duration = Duration::from_millis(20);
 
 /// When `accept` is called again after it has failed.
 #[derive(Default)]
 pub struct AcceptErrors {
     in_a_row: u32,
-    /// After the latest error.
-    wait: Duration,
+    backoff: Backoff,
 }
 
 impl AcceptErrors {
@@ -72,8 +68,7 @@
         if !is_shortage(error) && self.in_a_row <= AT_ONCE {
             return Duration::ZERO;
         }
-        self.wait = (2 * self.wait).clamp(FIRST_WAIT, LONGEST_WAIT);
-        self.wait
+        self.backoff.next_wait()
     }
 
     /// Does the machine lack something, and not for a moment alone?
@@ -98,21 +93,20 @@
         for _ in 0..AT_ONCE {
             assert_eq!(errors.wait_after(&aborted), Duration::ZERO);
         }
-        assert_eq!(errors.wait_after(&aborted), FIRST_WAIT);
+        assert_ne!(errors.wait_after(&aborted), Duration::ZERO);
         errors.over();
         assert_eq!(errors.wait_after(&aborted), Duration::ZERO);
     }
 
     #[test]
-    fn a_shortage_is_waited_for_ever_longer_up_to_a_bound() {
+    fn a_shortage_is_waited_for_and_lasts_once_it_has_come_again() {
         let shortage = io::Error::from_raw_os_error(libc::EMFILE);
         let mut errors = AcceptErrors::default();
-        assert_eq!(errors.wait_after(&shortage), FIRST_WAIT);
+        let first_wait = errors.wait_after(&shortage);
         assert!(!errors.is_lasting_shortage(&shortage), "it may be over");
-        assert_eq!(errors.wait_after(&shortage), 2 * FIRST_WAIT);
+        assert!(errors.wait_after(&shortage) > first_wait);
         assert!(errors.is_lasting_shortage(&shortage));
-        (0..20).for_each(|_| assert!(errors.wait_after(&shortage) <= LONGEST_WAIT));
         errors.over();
-        assert_eq!(errors.wait_after(&shortage), FIRST_WAIT);
+        assert_eq!(errors.wait_after(&shortage), first_wait);
     }
 }
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -30,6 +30,7 @@
 mod recent_ids;
 mod reply;
 mod server;
+mod shortage;
 mod starts;
 mod system;
 mod tcp_info;
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -5,7 +5,8 @@
 use crate::framing::Framing;
 use crate::heartbeat::Looks;
 use crate::leaving::Ended;
-use crate::system::{read_what_has_come, retry_interrupted};
+use crate::shortage::Shortage;
+use crate::system::{is_shortage, read_what_has_come, retry_interrupted};
 use crate::tcp_info::{self, PeerEnd};
 use crate::write_gate::WriteGate;
 use micapier::staleness::{ORDINARY_GAP, Unread};
@@ -33,6 +34,9 @@
 /// unread bytes would reset the connection, and take the last answer along.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// A socket is asked so often for what has come where the machine lacks memory for the call.
+const PEEKS: usize = 3;
+
 /// A limit on one wait after another. What is waited for has to be polled before it.
 #[derive(Default)]
 pub struct Limit(Option<Pin<Box<dyn Future<Output = ()> + Send + Sync>>>);
@@ -119,6 +123,7 @@
 struct Linger {
     shut: bool,
     limit: Limit,
+    shortage: Shortage,
 }
 
 impl Linger {
@@ -133,7 +138,9 @@
             }
             let mut bytes = [0; 4096];
             let mut dropped = ReadBuf::new(&mut bytes);
-            match ready!(Peer::poll_bytes(stream, context, &mut dropped, usize::MAX, |_| ())) {
+            let read =
+                Peer::poll_bytes(stream, context, &mut dropped, usize::MAX, &mut self.shortage, |_| ());
+            match ready!(read) {
                 Ok(()) if !dropped.filled().is_empty() => {}
                 _ => return Poll::Ready(Ok(())),
             }
@@ -153,7 +160,15 @@
 impl Socket {
     /// The socket is asked: its events may not tell of what has come yet.
     fn peek(&self) -> io::Result<usize> {
-        retry_interrupted(|| SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]))
+        let peek = || retry_interrupted(|| SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]));
+        let mut peeked = peek();
+        for _ in 1..PEEKS {
+            if !peeked.as_ref().is_err_and(is_shortage) {
+                break;
+            }
+            peeked = peek();
+        }
+        peeked
     }
 
     /// Has no room for what its connection has to write?
@@ -178,7 +193,7 @@
     pub fn has_ended(&self) -> bool {
         match self.peek() {
             Ok(count) => count == 0,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock && !is_shortage(&error),
         }
     }
 
@@ -248,6 +263,8 @@
     reading: Option<Patience>,
     /// Asked before each write.
     gate: Arc<WriteGate>,
+    read_shortage: Shortage,
+    write_shortage: Shortage,
     /// Begun once nothing more is written.
     linger: Linger,
 }
@@ -269,27 +286,30 @@
 
     fn new(stream: Arc<TcpStream>, reading: Option<Patience>, gate: Arc<WriteGate>) -> Peer {
         let (writing, write_blocked, linger) = Default::default();
-        Peer { stream, writing, write_blocked, reading, gate, linger }
+        let (read_shortage, write_shortage) = Default::default();
+        Peer { stream, writing, write_blocked, reading, gate, read_shortage, write_shortage, linger }
     }
 
     /// Reads what there is, up to so much; nothing at the end. Tells when the socket itself says that there is nothing.
     fn poll_bytes(
         stream: &TcpStream, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>, most: usize,
-        mut found_empty: impl FnMut(Instant),
+        shortage: &mut Shortage, mut found_empty: impl FnMut(Instant),
     ) -> Poll<io::Result<()>> {
         let most = most.min(buffer.remaining());
         loop {
+            ready!(shortage.poll_pause(context));
             ready!(stream.poll_read_ready(context))?;
             let bytes = buffer.initialize_unfilled_to(most);
             // Before the call: something may come right behind it.
             let asked_at = Instant::now();
             match retry_interrupted(|| stream.try_read(bytes)) {
                 Ok(count) => {
+                    shortage.over();
                     buffer.advance(count);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => found_empty(asked_at),
-                Err(error) => return Poll::Ready(Err(error)),
+                Err(error) => shortage.failed(error)?,
             }
         }
     }
@@ -298,24 +318,29 @@
     fn poll_write_by(
         &mut self, context: &mut Context<'_>, write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
-        let done = loop {
-            match self.stream.poll_write_ready(context) {
-                Poll::Ready(Ok(())) => {}
-                Poll::Ready(Err(error)) => break Poll::Ready(Err(error)),
-                Poll::Pending => break Poll::Pending,
-            }
+        let done = self.poll_write_once(context, write);
+        self.written(done, context)
+    }
+
+    fn poll_write_once(
+        &mut self, context: &mut Context<'_>, write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.write_shortage.poll_pause(context));
+            ready!(self.stream.poll_write_ready(context))?;
             if !self.gate.passes() {
-                break Poll::Ready(Err(io::Error::other("what was decided does not hold any more")));
+                return Poll::Ready(Err(io::Error::other("what was decided does not hold any more")));
             }
             match retry_interrupted(|| write(&self.stream)) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => {
+                Ok(count) => {
                     self.gate.note_written();
-                    break Poll::Ready(written);
+                    self.write_shortage.over();
+                    return Poll::Ready(Ok(count));
                 }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => self.write_shortage.failed(error)?,
             }
-        };
-        self.written(done, context)
+        }
     }
 
     /// Guards against a peer that takes nothing: it would hold its connection, and what waits behind it, for ever.
@@ -339,14 +364,16 @@
         let peer = self.get_mut();
         let before = buffer.filled().len();
         let Some(Patience { heads, limit, first_by }) = &mut peer.reading else {
-            return Peer::poll_bytes(&peer.stream, context, buffer, usize::MAX, |_| ());
+            let shortage = &mut peer.read_shortage;
+            return Peer::poll_bytes(&peer.stream, context, buffer, usize::MAX, shortage, |_| ());
         };
         let Known { framing, arrivals } = &mut *heads.known();
         let found_empty = |at| arrivals.found_empty(at);
-        let done = Peer::poll_bytes(&peer.stream, context, buffer, framing.room(), found_empty);
+        let (room, shortage) = (framing.room(), &mut peer.read_shortage);
+        let done = Peer::poll_bytes(&peer.stream, context, buffer, room, shortage, found_empty);
         if done.is_pending() {
-            // A task that has had its share of a turn has to wait as well, whatever there is to be read.
-            if has_budget_remaining() {
+            // A task that has had its share of a turn, or lacks memory, has to wait as well, whatever there is to be read.
+            if has_budget_remaining() && !peer.read_shortage.is_pausing() {
                 arrivals.wait();
             }
         } else if buffer.filled().len() > before {
--- a/src/bin/juniperspoke/system.rs
+++ b/src/bin/juniperspoke/system.rs
@@ -70,6 +70,25 @@
     error.raw_os_error().is_some_and(|errno| shortages.contains(&errno))
 }
 
+/// The waits between calls that meet a shortage: the first, and the longest of those that follow, each twice the one before.
+const FIRST_WAIT: Duration = Duration::from_millis(1);
+const LONGEST_WAIT: Duration = Duration::from_millis(20);
+
+/// How long to wait until a call that has met a shortage is made again.
+#[derive(Default)]
+pub struct Backoff {
+    /// The latest wait.
+    wait: Duration,
+}
+
+impl Backoff {
+    /// The wait after another error in a row.
+    pub fn next_wait(&mut self) -> Duration {
+        self.wait = (2 * self.wait).clamp(FIRST_WAIT, LONGEST_WAIT);
+        self.wait
+    }
+}
+
 /// Does this error of `connect` say nothing of the other side?
 pub fn is_local(error: &io::Error) -> bool {
     let local = [libc::EACCES, libc::EADDRNOTAVAIL, libc::EAGAIN, libc::EINTR, libc::EPERM];
@@ -100,6 +119,13 @@
         assert!(!theirs.into_iter().any(|errno| is_local(&io::Error::from_raw_os_error(errno))));
     }
 
+    #[test]
+    fn a_shortage_is_waited_for_ever_longer_up_to_a_bound() {
+        let mut backoff = Backoff::default();
+        assert_eq!([backoff.next_wait(), backoff.next_wait()], [FIRST_WAIT, 2 * FIRST_WAIT]);
+        (0..20).for_each(|_| assert!(backoff.next_wait() <= LONGEST_WAIT));
+    }
+
     /// Guards against closing idle connections for a client that has gone before it was accepted.
     #[test]
     fn an_error_of_one_connection_is_no_shortage() {
--- a/tests/descriptors.rs
+++ b/tests/descriptors.rs
@@ -165,8 +165,22 @@
 fn clients_are_accepted_in_their_time_though_every_second_call_fails() {
     for errors in [OF_ONE_CONNECTION, OF_A_SHORTAGE] {
         let upstream = Upstream::start(|_| ok("served"));
-        let sidecar = Sidecar::of(&failing_accept(&format!("2:{errors}")), &[&upstream], alone);
+        let sidecar = Sidecar::of(&failing(&format!("accept4:2:{errors}")), &[&upstream], alone);
         let clients: Vec<_> = (0..100).map(|_| sidecar.send(&call("pay", 0.8))).collect();
         clients.into_iter().for_each(|mut client| assert_eq!(Answer::read(&mut client).status, 200));
     }
 }
+
+/// Guards against requests that are lost with their connection, the client's or the server's, where the machine lacks memory
+/// for one call on it, or a signal interrupts that.
+#[test]
+fn requests_are_answered_though_every_second_read_and_write_fails() {
+    for calls in ["recv", "send", "writev"] {
+        let upstream = Upstream::start(|_| ok("served"));
+        let sidecar = Sidecar::of(&failing(&format!("{calls}:2:4,12,105")), &[&upstream], alone);
+        for _ in 0..10 {
+            let mut client = sidecar.send(&call("pay", 5.0).body("whole"));
+            assert_eq!(Answer::try_read(&mut client).expect("an answer").whole(), (200, "served"), "{calls}");
+        }
+    }
+}
--- a/tests/shutdown_soak.rs
+++ b/tests/shutdown_soak.rs
@@ -60,8 +60,9 @@
 /// The same for a process that hears of SIGTERM late: it is stopped as that comes, for up to a second.
 fn play_late_hearing(seed: u64) -> Vec<String> {
     let mut lot = Rng::with_seed(seed ^ 0x1a7e);
-    let (crowd, accept_errors) = (lot.u32(0..3) == 0, lot.u32(0..3) == 0);
-    let stage = Stage::start(seed, Setting { crowd, accept_errors, impatient: lot.bool() });
+    let crowd = lot.u32(0..3) == 0;
+    let system_faults = if lot.u32(0..3) == 0 { ACCEPT_ERRORS } else { "" };
+    let stage = Stage::start(seed, Setting { crowd, system_faults, impatient: lot.bool() });
     thread::sleep(Duration::from_millis(lot.u64(300..1_000)));
     let before = Duration::from_millis(lot.u64(0..300));
     let rest = stage.play.deadline + KILL_GRACE - TIME_TO_ANSWER;
--- a/tests/soak/mod.rs
+++ b/tests/soak/mod.rs
@@ -35,6 +35,9 @@
 /// The classes of the first deployment, with their methods.
 const CLASSES: [(&str, &str); 3] = [("pay", "POST"), ("report", "POST"), ("look", "GET")];
 
+/// Calls of `accept` fail.
+pub const ACCEPT_ERRORS: &str = "accept4:3:103,24,71,105";
+
 /// What a play is like.
 #[derive(Clone, Copy, Default)]
 pub struct Setting {
@@ -42,8 +45,8 @@
     pub crowd: bool,
     /// Half of the clients leave when their time is over, some by a reset.
     pub impatient: bool,
-    /// Calls of `accept` fail.
-    pub accept_errors: bool,
+    /// System calls that fail or wait, as [`failing`] takes them.
+    pub system_faults: &'static str,
 }
 
 /// How a play ended.
@@ -345,7 +348,8 @@
     pub fn start(seed: u64, setting: Setting) -> Stage {
         let play = Play::new(seed, setting);
         let upstreams: Vec<_> = (0..4).map(|number| play.upstream(number)).collect();
-        let shell = if setting.accept_errors { failing_accept("3:103,24,71,105") } else { ":".into() };
+        let faults = setting.system_faults;
+        let shell = if faults.is_empty() { ":".into() } else { failing(faults) };
         let sidecar = Sidecar::of(&shell, &upstreams.iter().collect::<Vec<_>>(), |config| {
             for class in config["settings"]["requestClasses"].as_array_mut().expect("classes") {
                 class["deadline"] = json!(play.deadline.as_secs_f64() * 1e3);
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -710,12 +710,14 @@
     (gate, upstream, sidecar)
 }
 
-/// A library of `tests/shims`, to be preloaded. A run of all tests has built it.
+/// A library of `tests/shims`, to be preloaded. A run of all tests has built it, one of a single test may have to.
 fn shim(name: &str) -> PathBuf {
     let executable = std::env::current_exe().expect("this test");
     let built = executable.parent().and_then(Path::parent).expect("the folder of the build");
     let path = built.join("examples").join(format!("lib{name}.so"));
-    if !path.exists() {
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/shims").join(format!("{name}.rs"));
+    let written_at = |path: &Path| path.metadata().and_then(|metadata| metadata.modified()).ok();
+    if written_at(&path) < written_at(&source) {
         let profile = if built.ends_with("release") { "release" } else { "dev" };
         let args = ["build", "--locked", "--profile", profile, "--example", name];
         let status = Command::new(env!("CARGO")).args(args).status();
@@ -724,9 +726,10 @@
     path
 }
 
-/// A shell command that makes calls of `accept` fail: `2:103,24` is every second one, with these errors in turn.
-pub fn failing_accept(plan: &str) -> String {
-    format!("export ACCEPT_ERRORS={plan} LD_PRELOAD={}", shim("accept_errors").display())
+/// A shell command that makes system calls on sockets fail or wait: `accept4:2:103,24 send:50:~120` is every second
+/// `accept4`, with these errors in turn, and every fiftieth `send`, for 120 ms.
+pub fn failing(faults: &str) -> String {
+    format!("export SYSTEM_FAULTS='{faults}' LD_PRELOAD={}", shim("system_faults").display())
 }
 
 /// With lists pushed and asked for, and with a discovery that refuses calls and one that leaves them unanswered.
