What could not be read for want of memory keeps its age

An upstream was told of 0.16 s more than its client had left: a read failed for want of memory and was made again after a pause, in which the event loop looked at its sockets. Looks tell that nothing had come that had not been read, so that what lay there counted as new.

Where a read could not be made, for want of memory or of time in a turn, later looks count for nothing until the socket has been read. The new test fails without that.

--- a/src/bin/juniperspoke/arrivals.rs
+++ b/src/bin/juniperspoke/arrivals.rs
@@ -12,6 +12,8 @@
     empty_at: Instant,
     /// We wait for its client.
     waits: bool,
+    /// There may be something that could not be read yet.
+    is_behind: bool,
     /// We waited for its client until then, when the first came of what has been read since.
     waited_until: Instant,
     /// The last of what has been read came then.
@@ -21,7 +23,7 @@
 impl Arrivals {
     pub fn new(looks: Looks) -> Arrivals {
         let (empty_at, now) = (looks.latest(), Instant::now());
-        Arrivals { looks, empty_at, waits: true, waited_until: now, last: now }
+        Arrivals { looks, empty_at, waits: true, is_behind: false, waited_until: now, last: now }
     }
 
     /// Until when we waited for its client the last time: now, while we still do.
@@ -41,10 +43,19 @@
 
     /// The runtime knows of nothing to be read. The socket itself may not have been asked.
     pub fn wait(&mut self) {
+        self.is_behind = false;
         self.note_looks();
         self.waits = true;
     }
 
+    /// There may be something to be read, for which there was no time or no memory: later looks tell nothing of it.
+    pub fn could_not_read(&mut self) {
+        if self.waits {
+            self.note_looks();
+        }
+        self.is_behind = true;
+    }
+
     /// Some has been read. `told` is since when the last of that has been there, by the system.
     pub fn read(&mut self, told: impl FnOnce() -> Option<Duration>) {
         let now = Instant::now();
@@ -61,7 +72,9 @@
 
     /// While we wait the event loop would have told of what had come by its latest look.
     fn note_looks(&mut self) {
-        self.empty_at = self.empty_at.max(self.looks.latest());
+        if !self.is_behind {
+            self.empty_at = self.empty_at.max(self.looks.latest());
+        }
     }
 }
 
@@ -85,6 +98,19 @@
         }
     }
 
+    /// Guards against taking for new what lay unread for want of memory, while the event loop went on.
+    #[tokio::test(start_paused = true)]
+    async fn a_look_after_a_read_that_failed_tells_nothing_of_what_is_there() {
+        let mut arrivals = Arrivals::new(Looks::from_now());
+        arrivals.wait();
+        advance(HELD_UP).await;
+        arrivals.could_not_read();
+        arrivals.looks = Looks::from_now();
+        arrivals.could_not_read();
+        arrivals.read(|| Some(HELD_UP));
+        assert_eq!(arrivals.last().elapsed(), HELD_UP);
+    }
+
     #[tokio::test(start_paused = true)]
     async fn what_is_read_right_after_a_look_is_new_and_the_system_is_not_asked() {
         let mut arrivals = Arrivals::new(Looks::from_now());
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -375,6 +375,8 @@
             // A task that has had its share of a turn, or lacks memory, has to wait as well, whatever there is to be read.
             if has_budget_remaining() && !peer.read_shortage.is_pausing() {
                 arrivals.wait();
+            } else {
+                arrivals.could_not_read();
             }
         } else if buffer.filled().len() > before {
             arrivals.read(|| Some(tcp_info::query(&*peer.stream).ok()?.since_bytes));
