A list whose end came while the process was stopped is taken, not dropped as endless

Changes of the list came late by a call, or by all the time until the module asks again: the process was stopped between a list's head and its end, and as it went on the 2 s that a list may take were over before its end was read. The call counted as failed, and what it had told was asked for again.

The new test failed before in 30 s: the sidecar asked from the old revision.

--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -6,17 +6,18 @@
 use crate::handle::{Handle, Happening};
 use crate::instances::Instances;
 use crate::list::{self, ListError, News};
+use crate::system::wait_until;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::{Request, StatusCode};
 use micapier::api::{Availability, Discovery};
 use micapier::settings::Surroundings;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until};
 
 /// How long a watch may wait. An agent beside the sidecar costs nothing to ask, a replicated service little, and one
 /// that has gone silent is noticed sooner; a service that works through its calls in turn is asked seldom.
@@ -360,8 +361,8 @@
     let mut connection = match kept {
         Some(kept) if !kept.sender.is_closed() => kept,
         _ => {
-            let opened = timeout(CONNECT, TcpConnection::open(addr, ())).await;
-            opened.map_err(|_| CallError::Unreachable)?.map_err(CallError::Connect)?
+            let opened = wait_until(Instant::now() + CONNECT, pin!(TcpConnection::open(addr, ()))).await;
+            opened.ok_or(CallError::Unreachable)?.map_err(CallError::Connect)?
         }
     };
     let uri = match held {
@@ -373,8 +374,9 @@
     connection.sender.ready().await?;
     let answer = connection.sender.send_request(request).await?;
     let status = answer.status();
-    let body = timeout(BODY, Limited::new(answer.into_body(), MAX_LIST).collect()).await;
-    let body = body.map_err(|_| CallError::Endless)?.map_err(CallError::Body)?;
+    let body = pin!(Limited::new(answer.into_body(), MAX_LIST).collect());
+    let body = wait_until(Instant::now() + BODY, body).await;
+    let body = body.ok_or(CallError::Endless)?.map_err(CallError::Body)?;
     if status != StatusCode::OK {
         return Err(CallError::Status(status));
     }
@@ -395,6 +397,7 @@
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
     use tokio::sync::{mpsc, oneshot};
+    use tokio::time::timeout;
 
     #[test]
     fn a_list_older_than_the_one_taken_is_refused_until_every_instance_has_said_so() {
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -25,7 +25,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
 /// A kept connection is not used in this last part of the time after which the upstream closes it.
 const IDLE_MARGIN: u32 = 10;
@@ -471,10 +471,10 @@
             let body = Limited::new(answer.into_body(), HELD).collect().await.ok()?;
             Some((status, body.to_bytes()))
         };
-        let (status, body) = match timeout_at(by, answer).await {
-            Ok(Some(answer)) => answer,
-            Ok(None) => return (Outcome::Reset, None),
-            Err(_) => return (Outcome::Timeout, None),
+        let (status, body) = match wait_until(by, pin!(answer)).await {
+            Some(Some(answer)) => answer,
+            Some(None) => return (Outcome::Reset, None),
+            None => return (Outcome::Timeout, None),
         };
         let report: Option<Value> = serde_json::from_slice(&body).ok();
         let held = report.and_then(|report| report[held_name?].as_f64()).filter(|held| held.is_finite());
--- a/tests/stale_requests.rs
+++ b/tests/stale_requests.rs
@@ -310,3 +310,17 @@
     waiting.iter_mut().for_each(|client| assert_eq!(Answer::read(client).whole(), (200, "served")));
     assert_eq!(attempts(std::slice::from_ref(drains)).len(), 0);
 }
+
+/// Guards against dropping a list, as one that does not end, whose end came while the process was stopped.
+#[test]
+fn a_list_that_came_while_the_process_was_stopped_is_taken() {
+    let (upstream, sidecar) = served(|_| {});
+    sidecar.discovery.tell(2, true, &[upstream.line("Ready")]);
+    sidecar.discovery.say_in_pieces(3, &[upstream.line("Ready")], HOLD_UP);
+    (0..2).for_each(|_| assert_ne!(sidecar.ready(), 0));
+    sidecar.pause_at_rest();
+    // Longer than a list may take from its head to its end.
+    sleep(Duration::from_millis(2_500));
+    sidecar.signal(Signal::SIGCONT);
+    sidecar.discovery.wait_for_index(3);
+}
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -480,6 +480,17 @@
         });
     }
 
+    /// The same in two pieces with this pause between.
+    pub fn say_in_pieces(&self, revision: u64, members: &[Value], pause: Duration) {
+        let list = json!({"revision": revision, "complete": false, "members": members}).to_string();
+        let text = format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+        let (early, late) = text.split_at(text.len() - 1);
+        self.registry.change(|r| {
+            r.watches.clear();
+            r.next.push_back((revision, Reply::Pieces(vec![early.into(), late.into()], pause)));
+        });
+    }
+
     /// The watch that is out is answered with these changes, and so many calls then refused; back with the first.
     pub fn say_and_refuse(&self, revision: u64, members: &[Value], refused: usize) {
         let calls = self.registry.change(|r| {
@@ -722,6 +733,7 @@
         let args = ["build", "--locked", "--profile", profile, "--example", name];
         let status = Command::new(env!("CARGO")).args(args).status();
         assert!(status.is_ok_and(|status| status.success()), "{name} can't be built");
+        assert!(path.exists(), "{name} is built beside the test");
     }
     path
 }
