The ends of a client have two types, and tests reset connections in one place

No change of behaviour. `ClientEnd` said over again what `Ended` says; what is decided of an end is now a function of its age. `reset` stood in two files of tests.

--- a/src/bin/juniperspoke/leaving.rs
+++ b/src/bin/juniperspoke/leaving.rs
@@ -3,7 +3,7 @@
 //! Who has ended its sending by the time its request is read may wait for the answer. What is out for it goes on, but
 //! nothing begins any more after a moment, in case it has closed. Who ends it later has gone.
 
-use micapier::staleness::ClientEnd;
+use micapier::staleness::may_begin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::sync::watch;
@@ -20,11 +20,10 @@
 
 impl Ended {
     fn lets_begin(self) -> bool {
-        let end = match self {
-            Ended::Sending(at) => ClientEnd::Sending(at.elapsed()),
-            Ended::Reset => ClientEnd::Reset,
-        };
-        end.lets_begin()
+        match self {
+            Ended::Sending(at) => may_begin(at.elapsed()),
+            Ended::Reset => false,
+        }
     }
 }
 
--- a/src/staleness.rs
+++ b/src/staleness.rs
@@ -41,20 +41,9 @@
     }
 }
 
-/// How a client has ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClientEnd {
-    /// It sends nothing more, since then: it has closed, or waits for its answer.
-    Sending(Duration),
-    /// It has reset its connection.
-    Reset,
-}
-
-impl ClientEnd {
-    /// May an attempt begin for it now?
-    pub fn lets_begin(self) -> bool {
-        matches!(self, ClientEnd::Sending(ago) if ago <= BEGINS_AFTER_END)
-    }
+/// May an attempt begin now for a client that ended its sending so long ago? It has closed, or waits for its answer.
+pub fn may_begin(since_end: Duration) -> bool {
+    since_end <= BEGINS_AFTER_END
 }
 
 #[cfg(test)]
@@ -85,10 +74,9 @@
     }
 
     #[test]
-    fn nothing_begins_for_who_has_reset_or_ended_long_ago() {
-        assert!(ClientEnd::Sending(ms(0)).lets_begin());
-        assert!(ClientEnd::Sending(BEGINS_AFTER_END).lets_begin());
-        assert!(!ClientEnd::Sending(BEGINS_AFTER_END + ms(1)).lets_begin());
-        assert!(!ClientEnd::Reset.lets_begin());
+    fn nothing_begins_for_who_has_ended_long_ago() {
+        assert!(may_begin(ms(0)));
+        assert!(may_begin(BEGINS_AFTER_END));
+        assert!(!may_begin(BEGINS_AFTER_END + ms(1)));
     }
 }
--- a/tests/held_up.rs
+++ b/tests/held_up.rs
@@ -4,7 +4,6 @@
 mod world;
 
 use nix::sys::signal::Signal;
-use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -79,11 +78,6 @@
     Asked { _upstream: upstream, sidecar, client, answering, since: Instant::now() }
 }
 
-/// Closes with a reset.
-fn reset(stream: TcpStream) {
-    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
-}
-
 /// What the client was told is the beginning of the upstream's answer, or an answer that says that it failed.
 #[track_caller]
 fn assert_answered(said: &str) {
--- a/tests/stale_requests.rs
+++ b/tests/stale_requests.rs
@@ -5,7 +5,6 @@
 
 use nix::sys::signal::Signal;
 use serde_json::json;
-use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::thread::sleep;
@@ -42,11 +41,6 @@
     all.filter(|seen| seen.line.contains(THEIRS)).collect()
 }
 
-/// Closes with a reset.
-fn reset(stream: TcpStream) {
-    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
-}
-
 fn asked_for_readiness(sidecar: &Sidecar) -> TcpStream {
     let mut stream = sidecar.connect();
     stream.write_all(b"GET /health/ready HTTP/1.1\r\nHost: n0\r\n\r\n").expect("written");
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -755,6 +755,11 @@
     });
 }
 
+/// Closes with a reset.
+pub fn reset(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
+}
+
 /// Waits until it is so; panics with `what` where that takes too long.
 pub fn wait(what: &str, mut until: impl FnMut() -> bool) {
     let start = Instant::now();
