A server is not blamed where no socket can be waited for, or no port is free

Servers were held to have failed, and were ejected, for two more errors of the sidecar's own machine: no room for another socket among those that the runtime waits for (ENOSPC of epoll_ctl), and no free port (EADDRINUSE of connect). Found by comparing the lists with what Linux documents, after the soak of failing system calls. The test of the lists failed before.

--- a/src/bin/juniperspoke/system.rs
+++ b/src/bin/juniperspoke/system.rs
@@ -64,9 +64,10 @@
     }
 }
 
-/// Does this machine lack descriptors, buffers or memory? Any other error of `accept` is of one connection.
+/// Does this machine lack descriptors, buffers, memory or room for one more socket that is waited for? Any other error of
+/// `accept` is of one connection.
 pub fn is_shortage(error: &io::Error) -> bool {
-    let shortages = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
+    let shortages = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM, libc::ENOSPC];
     error.raw_os_error().is_some_and(|errno| shortages.contains(&errno))
 }
 
@@ -91,7 +92,7 @@
 
 /// Does this error of `connect` say nothing of the other side?
 pub fn is_local(error: &io::Error) -> bool {
-    let local = [libc::EACCES, libc::EADDRNOTAVAIL, libc::EAGAIN, libc::EINTR, libc::EPERM];
+    let local = [libc::EACCES, libc::EADDRINUSE, libc::EADDRNOTAVAIL, libc::EAGAIN, libc::EINTR, libc::EPERM];
     is_shortage(error) || error.raw_os_error().is_some_and(|errno| local.contains(&errno))
 }
 
@@ -111,11 +112,14 @@
     /// Guards against ejecting upstreams for what the sidecar's own machine lacks.
     #[test]
     fn only_errors_of_the_other_side_are_blamed_on_it() {
-        use libc::{EACCES, EADDRNOTAVAIL, EAGAIN, EINTR, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPERM};
+        use libc::{EACCES, EADDRINUSE, EADDRNOTAVAIL, EAGAIN, EINTR, EPERM};
         use libc::{ECONNREFUSED, ECONNRESET, EHOSTUNREACH, ENETUNREACH, ETIMEDOUT};
-        let ours = [EACCES, EADDRNOTAVAIL, EAGAIN, EINTR, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPERM];
+        use libc::{EMFILE, ENFILE, ENOBUFS, ENOMEM, ENOSPC};
+        let ours = [EACCES, EADDRINUSE, EADDRNOTAVAIL, EAGAIN, EINTR, EPERM];
+        let lacking = [EMFILE, ENFILE, ENOBUFS, ENOMEM, ENOSPC];
         let theirs = [ECONNREFUSED, ECONNRESET, EHOSTUNREACH, ENETUNREACH, ETIMEDOUT];
-        assert!(ours.into_iter().all(|errno| is_local(&io::Error::from_raw_os_error(errno))));
+        let mut all_of_ours = ours.into_iter().chain(lacking);
+        assert!(all_of_ours.all(|errno| is_local(&io::Error::from_raw_os_error(errno))));
         assert!(!theirs.into_iter().any(|errno| is_local(&io::Error::from_raw_os_error(errno))));
     }
 
