--- a/tests/shims/system_faults.rs
+++ b/tests/shims/system_faults.rs
@@ -11,6 +11,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+/// No address is asked for, or named.
+const NOBODY: *mut c_void = std::ptr::null_mut();
+
 /// What happens to a call in place of, or before, what it asks for.
 #[derive(Clone, Copy)]
 enum Fault {
@@ -122,9 +125,9 @@
 replace!(accept4(socket, address: *mut sockaddr, length: *mut socklen_t, flags: c_int) -> c_int,
     syscall(libc::SYS_accept4, socket, address, length, flags));
 replace!(recv(socket, bytes: *mut c_void, length: size_t, flags: c_int) -> ssize_t,
-    syscall(libc::SYS_recvfrom, socket, bytes, length, flags, 0, 0));
+    syscall(libc::SYS_recvfrom, socket, bytes, length, flags, NOBODY, NOBODY));
 replace!(send(socket, bytes: *const c_void, length: size_t, flags: c_int) -> ssize_t,
-    syscall(libc::SYS_sendto, socket, bytes, length, flags, 0, 0));
+    syscall(libc::SYS_sendto, socket, bytes, length, flags, NOBODY, 0));
 replace!(writev(socket, parts: *const iovec, count: c_int) -> ssize_t,
     syscall(libc::SYS_writev, socket, parts, count));
 replace!(connect(socket, address: *const sockaddr, length: socklen_t) -> c_int,
