The pool of connections to upstreams has a module of its own

No change of behaviour: moved out of upstream.rs, which makes attempts and probes, with its three tests.

--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -634,6 +634,7 @@
     use super::*;
     use crate::budget::Budget;
     use crate::metrics::Metrics;
+    use crate::pool::ConnectionPool;
     use crate::upstream::tests::read;
     use bytes::Bytes;
     use hyper::{HeaderMap, Method, Uri};
@@ -667,6 +668,11 @@
         crate::list::read(&list, &config.surroundings).ok()
     }
 
+    fn upstreams(most: usize, timeout: Duration, budget: usize) -> Upstreams {
+        let pool = ConnectionPool::new(most, timeout, timeout);
+        Upstreams::new(pool, Metrics::new(&[]), Budget::new(budget))
+    }
+
     /// Guards against a deadline that is too long: a request may have lain unread for an ordinary gap, and its attempt be
     /// written as long after it was decided on as a decision holds.
     #[test]
@@ -680,7 +686,7 @@
         let addr = listener.local_addr().expect("an address");
         let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
         let long = Duration::from_secs(30);
-        let upstreams = Upstreams::new(4, long, long, Metrics::new(&[]), Budget::new(0));
+        let upstreams = upstreams(4, long, 0);
         let (mut driver, _handle) =
             Driver::new(config.clone(), upstreams.clone(), Arc::new(Notify::new()), None);
         let (told, mut heard) = mpsc::unbounded_channel();
@@ -713,7 +719,7 @@
         let text = crate::config::tests::JSON.replace("\"cancel\":true", "\"cancel\":false");
         let config = Arc::new(Config::read(&text, |_| None).expect("readable"));
         let long = Duration::from_secs(30);
-        let upstreams = Upstreams::new(4, long, long, Metrics::new(&[]), Budget::new(0));
+        let upstreams = upstreams(4, long, 0);
         let (driver, handle) = Driver::new(config.clone(), upstreams, Arc::new(Notify::new()), None);
         let known = listed(&config, addr, Duration::ZERO);
         let mut driver = Box::pin(driver.run(known, false));
@@ -748,7 +754,7 @@
         let addr = listener.local_addr().expect("an address");
         let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
         let long = Duration::from_secs(30);
-        let upstreams = Upstreams::new(4, long, long, Metrics::new(&[]), Budget::new(0));
+        let upstreams = upstreams(4, long, 0);
         let (mut driver, _handle) = Driver::new(config.clone(), upstreams, Arc::new(Notify::new()), None);
         driver.take_over(listed(&config, addr, Duration::ZERO).expect("a list"));
         let (to, _answer) = oneshot::channel();
@@ -770,7 +776,7 @@
         let addr = listener.local_addr().expect("an address");
         let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
         let (budget, long) = (Duration::from_secs(1), Duration::from_secs(30));
-        let upstreams = Upstreams::new(4, long, long, Metrics::new(&[]), Budget::new(1_024));
+        let upstreams = upstreams(4, long, 1_024);
         let (driver, handle) = Driver::new(config.clone(), upstreams, Arc::new(Notify::new()), None);
         let mut driver = Box::pin(driver.run(listed(&config, addr, Duration::ZERO), false));
         let mut asked = Box::pin(handle.ask(inbound("/api", budget)));
@@ -793,7 +799,7 @@
     #[tokio::test]
     async fn a_request_that_the_module_is_silent_about_is_answered_in_time() {
         let config = Arc::new(Config::read(crate::config::tests::JSON, |_| None).expect("readable"));
-        let upstreams = Upstreams::new(1, Duration::ZERO, Duration::ZERO, Metrics::new(&[]), Budget::new(0));
+        let upstreams = upstreams(1, Duration::ZERO, 0);
         let (mut driver, handle) = Driver::new(config, upstreams, Arc::new(Notify::new()), None);
         // The module holds a request of the same id, and ignores another.
         let (id, patience) = (RequestId(0), Duration::from_secs(3_600));
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -27,6 +27,7 @@
 mod listener;
 mod metrics;
 mod peer;
+mod pool;
 mod recent_ids;
 mod reply;
 mod server;
@@ -49,6 +50,7 @@
 use life::{Life, Presence};
 use listener::ListenError;
 use metrics::Metrics;
+use pool::ConnectionPool;
 use server::Server;
 use std::env;
 use std::io;
@@ -163,9 +165,10 @@
     // Clients use up to a third of all descriptors; where half is another's, that is more than half of ours.
     let clients = (connections / 2).max((config.sockets / 3).min(connections * 2 / 3));
     let upstreams = connections - clients;
-    let settings = (config.settings.keep_alive, config.surroundings.connect_timeout);
+    let (keep_alive, connect_timeout) = (config.settings.keep_alive, config.surroundings.connect_timeout);
+    let pool = ConnectionPool::new(upstreams.max(1), keep_alive, connect_timeout);
     let metrics = Metrics::new(&config.surroundings.classes);
-    let upstreams = Upstreams::new(upstreams.max(1), settings.0, settings.1, metrics.clone(), budget.clone());
+    let upstreams = Upstreams::new(pool, metrics.clone(), budget.clone());
     let subscribe = Arc::new(Notify::new());
     let dark = config.fleet.as_ref().map(|_| Arc::new(Notify::new()));
     let (driver, handle) = Driver::new(config.clone(), upstreams, subscribe.clone(), dark.clone());
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -1,16 +1,12 @@
-//! The upstreams' side: attempts, probes and the connections for both.
-//!
-//! The pool is our own, since those of client libraries send a request again by themselves when a kept
-//! connection breaks under it, and so may run it twice.
+//! The upstreams' side: attempts and probes.
 
 use crate::answer::{AnswerBody, AnswerStream, StreamEnd, read_answer};
 use crate::bodies::{HELD, Outgoing, RequestBody, Sent};
 use crate::budget::Budget;
-use crate::connection::{OpenError, TcpConnection};
-use crate::idle::IdleLimit;
 use crate::leaving::RequestEnd;
 use crate::metrics::{Count, Metrics};
-use crate::system::{is_late, read_what_has_come, ready_by_what_has_come, wait_until};
+use crate::pool::{ConnectionPool, Pooled};
+use crate::system::{is_late, ready_by_what_has_come, wait_until};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, TRANSFER_ENCODING};
@@ -18,23 +14,14 @@
 use micapier::api::Outcome;
 use micapier::staleness::DECISION_HOLDS;
 use serde_json::Value;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
-/// A kept connection is not used in this last part of the time after which the upstream closes it.
-const IDLE_MARGIN: u32 = 10;
-/// A connection rests for so long after an answer: one that should not be there may come some milliseconds later,
-/// and on a connection in use it would be taken for the answer to the next request.
-const REST: Duration = Duration::from_millis(10);
-/// Idle connections kept to one upstream.
-const IDLE_EACH: usize = 8;
-
 /// Where an attempt goes; the driver closes it when the list takes the upstream or its address back.
 pub struct Target {
     pub addr: SocketAddr,
@@ -114,153 +101,22 @@
     std::future::pending().await
 }
 
-/// Counts a connection, made or being made, against the limit, until its socket has closed.
-struct Slot(Arc<AtomicUsize>);
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// A connection for one use after the other.
-struct Pooled {
-    connection: TcpConnection<Outgoing>,
-    /// How long it stood idle before this use.
-    idle_for: Duration,
-}
-
-struct Idle {
-    pooled: Pooled,
-    since: Instant,
-}
-
-/// The connections to all upstreams.
+/// Makes attempts and probes.
 #[derive(Clone)]
 pub struct Upstreams {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
-    learned: Arc<Mutex<IdleLimit>>,
-    /// Waits for a connection that were cut short, by address since one last came up: how long they were in all, and
-    /// until when that has been counted.
-    vain: Arc<Mutex<HashMap<SocketAddr, (Duration, Instant)>>>,
-    open: Arc<AtomicUsize>,
-    most: usize,
-    keep: Duration,
-    connect_timeout: Duration,
+    pool: ConnectionPool,
     metrics: Arc<Metrics>,
     budget: Budget,
 }
 
 impl Upstreams {
-    pub fn new(
-        most: usize, keep_alive: Duration, connect_timeout: Duration, metrics: Arc<Metrics>, budget: Budget,
-    ) -> Self {
-        let (idle, vain, open) = Default::default();
-        let learned = Arc::new(Mutex::new(IdleLimit::new(Instant::now())));
-        let keep = keep_alive - keep_alive / IDLE_MARGIN;
-        Upstreams { idle, learned, vain, open, most, keep, connect_timeout, metrics, budget }
-    }
-
-    fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn learned(&self) -> MutexGuard<'_, IdleLimit> {
-        self.learned.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn vain(&self) -> MutexGuard<'_, HashMap<SocketAddr, (Duration, Instant)>> {
-        self.vain.lock().unwrap_or_else(PoisonError::into_inner)
+    pub fn new(pool: ConnectionPool, metrics: Arc<Metrics>, budget: Budget) -> Self {
+        Upstreams { pool, metrics, budget }
     }
 
-    /// Closes what is kept to upstreams that have left, and what was opened at a time that is not kept; forgets the waits
-    /// for one that were over by then.
+    /// Closes what is kept to upstreams that have left, and what was opened at a time that is not kept.
     pub fn retain(&self, keep: impl Fn(&SocketAddr, Instant) -> bool) {
-        self.vain().retain(|addr, (_, until)| keep(addr, *until));
-        self.idle().retain(|addr, list| {
-            list.retain(|idle| keep(addr, idle.pooled.connection.opened));
-            !list.is_empty()
-        });
-    }
-
-    /// The connection used last that is still good and has rested, or the one that has it next. Guards against one
-    /// that its upstream has closed, or is about to, or that has broken unseen: a request on it would end as a
-    /// reset, and might have run.
-    fn kept(&self, addr: SocketAddr) -> Option<Idle> {
-        let keep = self.learned().limit(Instant::now()).map_or(self.keep, |learned| learned.min(self.keep));
-        let mut idle = self.idle();
-        for list in idle.values_mut() {
-            list.retain(|i| i.since.elapsed() < keep && i.pooled.connection.sender.is_ready());
-        }
-        let list = idle.get_mut(&addr).filter(|list| !list.is_empty())?;
-        let rested = list.iter().rposition(|i| i.since.elapsed() >= REST);
-        Some(list.remove(rested.unwrap_or(0)))
-    }
-
-    /// Keeps what has not been used since then.
-    fn keep(&self, addr: SocketAddr, pooled: Pooled, since: Instant) {
-        let mut idle = self.idle();
-        let list = idle.entry(addr).or_default();
-        if list.len() < IDLE_EACH {
-            list.insert(list.partition_point(|other| other.since <= since), Idle { pooled, since });
-        }
-    }
-
-    /// Room for one more connection; the one idle for longest gives way, and has closed by then.
-    async fn slot(&self) -> Option<Slot> {
-        while self.open.load(Ordering::Relaxed) >= self.most {
-            self.idle_longest()?.pooled.connection.close().await;
-        }
-        self.open.fetch_add(1, Ordering::Relaxed);
-        Some(Slot(self.open.clone()))
-    }
-
-    fn idle_longest(&self) -> Option<Idle> {
-        let mut idle = self.idle();
-        let lists = idle.values_mut().filter(|list| !list.is_empty());
-        Some(lists.min_by_key(|list| list[0].since)?.remove(0))
-    }
-
-    /// The outcome if there is none; each proves that nothing ran. Guards against blaming an upstream for our own
-    /// lack of room.
-    async fn connection(&self, addr: SocketAddr, by: Instant) -> Result<Pooled, Outcome> {
-        while let Some(Idle { pooled, since }) = self.kept(addr) {
-            // To wait costs less than another connection.
-            sleep_until(since + REST).await;
-            // What has arrived unseen, a close or bytes, ends the connection before this goes on.
-            read_what_has_come().await;
-            if pooled.connection.sender.is_ready() {
-                return Ok(Pooled { idle_for: since.elapsed(), ..pooled });
-            }
-        }
-        let slot = self.slot().await.ok_or(Outcome::Moot)?;
-        let since = Instant::now();
-        let by = by.min(since + self.connect_timeout);
-        let opened = wait_until(by, pin!(TcpConnection::open(addr, slot))).await;
-        let opened = opened.ok_or_else(|| self.waited_in_vain(addr, since))?;
-        let mut connection = match opened {
-            Err(OpenError::Ours(_)) => return Err(Outcome::Moot),
-            opened => {
-                self.vain().remove(&addr);
-                opened.map_err(|_| Outcome::ConnectFailed)?
-            }
-        };
-        connection.sender.ready().await.map_err(|_| Outcome::ConnectFailed)?;
-        Ok(Pooled { connection, idle_for: Duration::ZERO })
-    }
-
-    /// What a connection proves that has not come up since then. Guards against blaming an upstream for a client with
-    /// little time left, and against never learning of one where such clients are all that come: their waits add up
-    /// to the time that a connection may take, and what waited at once counts once.
-    fn waited_in_vain(&self, addr: SocketAddr, since: Instant) -> Outcome {
-        let (now, mut vain) = (Instant::now(), self.vain());
-        let (waited, until) = vain.remove(&addr).unwrap_or((Duration::ZERO, since));
-        let waited = waited + now.saturating_duration_since(until.max(since));
-        if waited.max(now - since) >= self.connect_timeout {
-            return Outcome::ConnectFailed;
-        }
-        vain.insert(addr, (waited, now));
-        Outcome::Moot
+        self.pool.retain(keep);
     }
 
     /// One attempt, from choosing a connection to the end of the answer, or until it is passed on. Each step is
@@ -297,7 +153,7 @@
                 ended(Outcome::Moot);
                 // Unused, it goes on ageing: its upstream counts from its last request.
                 let idle_since = now.checked_sub(pooled.idle_for).unwrap_or(now);
-                return self.keep(target.addr, pooled, idle_since);
+                return self.pool.keep(target.addr, pooled, idle_since);
             }
             let may_be_written = still_holds(&target, &outbound, begin_by.unwrap_or(by).min(by), now);
             pooled.connection.gate.begin_while(may_be_written);
@@ -352,7 +208,7 @@
             (Outcome::Reset | Outcome::Timeout, Sent::Begun | Sent::Nothing) => Outcome::ConnectFailed,
             _ => outcome,
         };
-        self.learned().note(pooled.idle_for, outcome == Outcome::Reset, Instant::now());
+        self.pool.note_use(&pooled, outcome == Outcome::Reset);
         match had {
             Some(AnswerBody::Begun(begun)) if outcome == Outcome::Ok => {
                 let end = report.clone();
@@ -434,13 +290,13 @@
     /// Keeps a connection whose answer is over, unless it closes.
     async fn keep_ready(self, target: Arc<Target>, mut pooled: Pooled) {
         if pooled.connection.sender.ready().await.is_ok() && target.open.load(Ordering::Relaxed) {
-            self.keep(target.addr, pooled, Instant::now());
+            self.pool.keep(target.addr, pooled, Instant::now());
         }
     }
 
     /// A connection to an upstream, unless it has begun to drain while that came up.
     async fn connection_to(&self, target: &Target, by: Instant) -> Result<Pooled, Outcome> {
-        let pooled = self.connection(target.addr, by).await?;
+        let pooled = self.pool.connection(target.addr, by).await?;
         if target.open.load(Ordering::Relaxed) { Ok(pooled) } else { Err(Outcome::Moot) }
     }
 
@@ -488,8 +344,10 @@
     use super::*;
     use crate::bodies::tests::open_body;
     use crate::leaving::End;
+    use crate::pool::REST;
     use std::future::poll_fn;
     use std::io;
+    use std::sync::atomic::AtomicUsize;
     use std::task::Poll;
     use tokio::net::{TcpListener, TcpSocket, TcpStream};
     use tokio::sync::mpsc::{self, UnboundedReceiver};
@@ -499,7 +357,7 @@
     const LONG: Duration = Duration::from_secs(30);
 
     fn upstreams(most: usize, connect_timeout: Duration) -> Upstreams {
-        Upstreams::new(most, LONG, connect_timeout, Metrics::new(&[]), Budget::new(HELD))
+        Upstreams::new(ConnectionPool::new(most, LONG, connect_timeout), Metrics::new(&[]), Budget::new(HELD))
     }
 
     /// From now on.
@@ -573,17 +431,14 @@
     async fn an_attempt_that_is_late_or_not_wanted_any_more_is_not_written_and_its_connection_stays() {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (upstreams, addr) = (upstreams(4, LONG), listener.local_addr().expect("an address"));
-        let pooled = upstreams.connection(addr, Instant::now() + LONG).await.expect("a connection");
+        let pooled = upstreams.pool.connection(addr, Instant::now() + LONG).await.expect("a connection");
         let (second, now) = (Duration::from_secs(1), Instant::now());
         let since = now.checked_sub(10 * second).expect("the machine has run for longer");
-        upstreams.keep(addr, pooled, since);
+        upstreams.pool.keep(addr, pooled, since);
         for (begin_by, wanted) in [(Some(now), true), (None, false)] {
             assert_eq!(attempt(&upstreams, addr, true, begin_by, wanted).await, Outcome::Moot);
-            let idle = upstreams.idle();
-            assert!(
-                idle[&addr].len() == 1 && idle[&addr][0].since < since + second,
-                "kept for another, as old"
-            );
+            let idle_since = upstreams.pool.idle_since(addr);
+            assert!(idle_since.len() == 1 && idle_since[0] < since + second, "kept for another, as old");
         }
         drop(upstreams);
         assert_eq!(read(&listener.accept().await.expect("a connection").0).await, "");
@@ -609,9 +464,9 @@
     async fn written_after_a_hold_up(body: RequestBody) -> String {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let (to, addr) = (upstreams(4, LONG), listener.local_addr().expect("an address"));
-        let pooled = to.connection(addr, Instant::now() + LONG).await.expect("a connection");
+        let pooled = to.pool.connection(addr, Instant::now() + LONG).await.expect("a connection");
         let rested = Instant::now().checked_sub(REST).expect("the machine has run for longer");
-        to.keep(addr, pooled, rested);
+        to.pool.keep(addr, pooled, rested);
         let accepted = listener.accept().await.expect("a connection").0;
         let (told, mut steps) = mpsc::unbounded_channel();
         let report = move |step| assert!(told.send(step).is_ok());
@@ -676,8 +531,9 @@
         let ms = Duration::from_millis;
         let early = terms(ms(1_000));
         advance(ms(990)).await;
-        let (pooled, accepted) = tokio::join!(to.connection(addr, Instant::now() + LONG), listener.accept());
-        to.keep(addr, pooled.unwrap_or_else(|_| panic!("a connection")), Instant::now());
+        let (pooled, accepted) =
+            tokio::join!(to.pool.connection(addr, Instant::now() + LONG), listener.accept());
+        to.pool.keep(addr, pooled.unwrap_or_else(|_| panic!("a connection")), Instant::now());
         // It rests until the time of the first is just over.
         let mut steps = begin(&to, addr, true, early, true).await;
         assert!(matches!(steps.recv().await, Some(Step::Ended(Outcome::Moot, _))));
@@ -723,7 +579,7 @@
         let begin_by = Some(Instant::now() + soon);
         let to = upstreams(4, LONG);
         assert_eq!(attempt(&to, addr, true, begin_by, true).await, Outcome::Moot);
-        assert_eq!(to.open.load(Ordering::Relaxed), 0, "its place is free again");
+        assert_eq!(to.pool.open_count(), 0, "its place is free again");
     }
 
     /// Answers the first request with this, and then drips more of it; what becomes of the answer, and when.
@@ -732,7 +588,7 @@
     ) -> (Option<Outcome>, usize, Duration) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let addr = listener.local_addr().expect("an address");
-        let to = Upstreams::new(4, LONG, LONG, Metrics::new(&[]), Budget::new(room));
+        let to = Upstreams::new(ConnectionPool::new(4, LONG, LONG), Metrics::new(&[]), Budget::new(room));
         tokio::spawn(async move {
             let (stream, _) = listener.accept().await.expect("a connection");
             read(&stream).await;
@@ -792,55 +648,14 @@
         }
     }
 
-    #[tokio::test]
-    async fn connections_stay_within_the_limit_and_the_one_idle_longest_gives_way() {
-        let upstreams = upstreams(2, LONG);
-        let listeners = [(); 3].map(|()| std::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
-        let addr = |i: usize| listeners[i].local_addr().expect("an address");
-        let by = Instant::now() + LONG;
-        let first = upstreams.connection(addr(0), by).await.expect("room");
-        let _second = upstreams.connection(addr(1), by).await.expect("room");
-        let none = upstreams.connection(addr(2), by).await.err();
-        assert_eq!(none, Some(Outcome::Moot), "both are in use, which says nothing of the third");
-        upstreams.keep(addr(0), first, Instant::now());
-        // Its socket has closed before there is another.
-        let mut next = Box::pin(upstreams.connection(addr(2), by));
-        poll_fn(|context| Poll::Ready(next.as_mut().poll(context).is_ready())).await;
-        listeners[2].set_nonblocking(true).expect("set");
-        assert!(listeners[2].accept().is_err(), "one too many");
-        let third = next.await;
-        assert!(third.is_ok(), "the idle one gave way");
-        assert_eq!(upstreams.open.load(Ordering::Relaxed), 2);
-        drop(third);
-        yield_now().await;
-        assert_eq!(upstreams.open.load(Ordering::Relaxed), 1);
-    }
-
-    #[tokio::test]
-    async fn a_connection_idle_for_longer_than_they_stay_good_is_not_used_again() {
-        let upstreams = upstreams(4, LONG);
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let addr = listener.local_addr().expect("an address");
-        let now = Instant::now();
-        let idle = now.checked_sub(Duration::from_secs(10)).expect("the machine has run for longer");
-        for broke in [false, true].repeat(5) {
-            upstreams.learned().note(if broke { Duration::from_secs(5) } else { Duration::ZERO }, broke, now);
-        }
-        for (since, good) in [(now, true), (idle, false)] {
-            let pooled = upstreams.connection(addr, now + LONG).await.expect("a connection");
-            upstreams.idle().entry(addr).or_default().push(Idle { pooled, since });
-            assert_eq!(upstreams.kept(addr).is_some(), good);
-        }
-    }
-
     #[tokio::test]
     async fn what_a_kept_connection_gives_back_unwritten_goes_out_on_another() {
         for probe in [false, true] {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
             let (upstreams, addr) = (upstreams(4, LONG), listener.local_addr().expect("an address"));
             let by = Instant::now() + LONG;
-            let (pooled, accepted) = tokio::join!(upstreams.connection(addr, by), listener.accept());
-            upstreams.keep(addr, pooled.unwrap_or_else(|_| panic!("a connection")), Instant::now());
+            let (pooled, accepted) = tokio::join!(upstreams.pool.connection(addr, by), listener.accept());
+            upstreams.pool.keep(addr, pooled.unwrap_or_else(|_| panic!("a connection")), Instant::now());
             sleep_until(Instant::now() + 2 * REST).await;
             let serve = async {
                 // It closes between the last look at it and the write.
@@ -863,33 +678,4 @@
             assert!(outcome == Outcome::Ok && request.starts_with(path), "{outcome:?}, {request}");
         }
     }
-
-    #[tokio::test]
-    async fn what_comes_on_a_resting_connection_is_no_answer_to_the_next_request() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let (upstreams, addr) = (upstreams(4, LONG), listener.local_addr().expect("an address"));
-        let by = Instant::now() + LONG;
-        let connection = async || upstreams.connection(addr, by).await.expect("a connection");
-        for stray in [None, Some("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n2"), Some("HTTP/1."), Some("")]
-        {
-            let (pooled, accepted) = tokio::join!(connection(), listener.accept());
-            let (stream, rests_since) = (accepted.expect("a connection").0, Instant::now());
-            upstreams.keep(addr, pooled, rests_since);
-            if stray.is_some() {
-                sleep_until(rests_since + 2 * REST).await;
-            }
-            // In the moment of the reuse: the connection's own task has no turn between.
-            match stray {
-                Some("") => drop(stream),
-                Some(stray) => assert_eq!(stream.try_write(stray.as_bytes()).expect("written"), stray.len()),
-                None => {}
-            }
-            let again = connection().await;
-            assert_eq!(again.idle_for.is_zero(), stray.is_some(), "{stray:?}");
-            if stray.is_some() {
-                drop(listener.accept().await);
-            }
-            assert!(stray.is_some() || rests_since.elapsed() >= REST);
-        }
-    }
 }
