--- a/src/bin/juniperspoke/shortage.rs
+++ b/src/bin/juniperspoke/shortage.rs
@@ -42,8 +42,14 @@
 
     /// The call has failed: it is to be made again after a pause, or this is the connection's end.
     pub fn failed(&mut self, error: io::Error) -> io::Result<()> {
-        let since = *self.since.get_or_insert_with(Instant::now);
-        if !is_shortage(&error) || since.elapsed() >= LONGEST {
+        if !is_shortage(&error) {
+            return Err(error);
+        }
+        let since = *self.since.get_or_insert_with(|| {
+            tracing::info!(%error, "a call on a connection is made again");
+            Instant::now()
+        });
+        if since.elapsed() >= LONGEST {
             return Err(error);
         }
         self.pause = Some(Box::pin(sleep(self.backoff.next_wait())));
