--- a/src/bin/juniperspoke/accept.rs
+++ b/src/bin/juniperspoke/accept.rs
@@ -85,6 +85,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::system::{FIRST_WAIT, LONGEST_WAIT};
 
     #[test]
     fn errors_of_one_connection_keep_nobody_waiting_and_none_is_asked_about_without_a_pause() {
@@ -93,20 +94,21 @@
         for _ in 0..AT_ONCE {
             assert_eq!(errors.wait_after(&aborted), Duration::ZERO);
         }
-        assert_ne!(errors.wait_after(&aborted), Duration::ZERO);
+        assert_eq!(errors.wait_after(&aborted), FIRST_WAIT);
         errors.over();
         assert_eq!(errors.wait_after(&aborted), Duration::ZERO);
     }
 
     #[test]
-    fn a_shortage_is_waited_for_and_lasts_once_it_has_come_again() {
+    fn a_shortage_is_waited_for_ever_longer_up_to_a_bound() {
         let shortage = io::Error::from_raw_os_error(libc::EMFILE);
         let mut errors = AcceptErrors::default();
-        let first_wait = errors.wait_after(&shortage);
+        assert_eq!(errors.wait_after(&shortage), FIRST_WAIT);
         assert!(!errors.is_lasting_shortage(&shortage), "it may be over");
-        assert!(errors.wait_after(&shortage) > first_wait);
+        assert_eq!(errors.wait_after(&shortage), 2 * FIRST_WAIT);
         assert!(errors.is_lasting_shortage(&shortage));
+        (0..20).for_each(|_| assert!(errors.wait_after(&shortage) <= LONGEST_WAIT));
         errors.over();
-        assert_eq!(errors.wait_after(&shortage), first_wait);
+        assert_eq!(errors.wait_after(&shortage), FIRST_WAIT);
     }
 }
--- a/src/bin/juniperspoke/system.rs
+++ b/src/bin/juniperspoke/system.rs
@@ -72,8 +72,8 @@
 }
 
 /// The waits between calls that meet a shortage: the first, and the longest of those that follow, each twice the one before.
-const FIRST_WAIT: Duration = Duration::from_millis(1);
-const LONGEST_WAIT: Duration = Duration::from_millis(20);
+pub const FIRST_WAIT: Duration = Duration::from_millis(1);
+pub const LONGEST_WAIT: Duration = Duration::from_millis(20);
 
 /// How long to wait until a call that has met a shortage is made again.
 #[derive(Default)]
