--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -10,8 +10,11 @@
 use std::time::{Duration, Instant};
 
 const MB: usize = 1_000_000;
-/// Of each body an upstream takes so much at full speed; then it is slow, and takes 64 kB a second.
+/// Of each body an upstream takes so much fast, with a short pause after each step; then it is slow, and takes 64 kB a
+/// second.
 const TAKEN: usize = 12 * MB;
+const STEP: usize = 2 * MB;
+const STEP_PAUSE: Duration = Duration::from_millis(30);
 const SLOW_PIECE: usize = 6_400;
 const SLOW_PAUSE: Duration = Duration::from_millis(100);
 /// The longest body.
@@ -35,7 +38,7 @@
         while let Some(seen) = Seen::read_head(&mut from) {
             let length: usize = seen.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
             let mut bytes = vec![0; 256 * 1024];
-            let (mut read, mut noted) = (0, false);
+            let (mut read, mut noted, mut steps) = (0, false, 0);
             while read < length {
                 let mut most = bytes.len();
                 if read >= TAKEN && trouble() {
@@ -48,6 +51,10 @@
                     thread::sleep(SLOW_PAUSE);
                     most = SLOW_PIECE;
                 }
+                if read / STEP > steps && trouble() {
+                    steps = read / STEP;
+                    thread::sleep(STEP_PAUSE);
+                }
                 match from.read(&mut bytes[..most]) {
                     Ok(0) | Err(_) => {
                         let id = seen.id();
@@ -147,10 +154,12 @@
         listen
     };
     let first = ask_all(start(&mut stage), vec![LONGEST; 8], &record);
-    let fits: Vec<usize> =
+    let mut fits: Vec<usize> =
         first.iter().filter(|asked| asked.whole_at.is_none()).map(|asked| asked.written).collect();
-    let least = fits.iter().min().map_or(LONGEST, |least| least - MB / 2);
-    let most = fits.iter().max().copied().unwrap_or(LONGEST);
+    fits.sort_unstable();
+    let least = fits.first().map_or(LONGEST, |least| least - MB / 4);
+    // Some fit far more.
+    let most = fits.get(fits.len() / 2).map_or(LONGEST, |middle| (middle + MB).min(LONGEST));
     record.note(format!("{least} to {most} bytes of a body can be written at once"));
     let lengths = (0..CLIENTS).map(|at| least + (most - least) / CLIENTS * at).collect();
     let second = ask_all(start(&mut stage), lengths, &record);
