Long bodies on their way at SIGTERM are answered before the earliest SIGKILL

Cause: the bound by which a process that ends has to answer was copied when a request was taken, as the first 64 KiB of a long body are here. Before SIGTERM there is none. With the last byte the whole time of the client began, past the kill. Small bodies that came at the same time were answered, which rules out the attempt and the end of the process.

Change: the driver bounds all requests whose last byte may come later than 0.7 s after SIGTERM as it is told of the signal: those whose body is on its way, and those which came before the process heard of it. All others keep their time.

--- a/src/bin/juniperspoke/bodies.rs
+++ b/src/bin/juniperspoke/bodies.rs
@@ -242,6 +242,11 @@
         self.flow().intake.writing_at()
     }
 
+    /// Has its last byte been read?
+    pub fn is_whole(&self) -> bool {
+        *self.sent.borrow() == Sent::Whole
+    }
+
     /// Waits until its last byte has been read.
     pub async fn read_whole(&self) {
         // Without an end only if this goes.
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -3,7 +3,7 @@
 
 use crate::bodies::RequestBody;
 use crate::config::Config;
-use crate::handle::{Answer, Handle, Happening, Inbound};
+use crate::handle::{Answer, Handle, Happening, Inbound, Shutdown};
 use crate::list::News;
 use crate::starts::Starts;
 use crate::system::{is_late, read_all_that_has_come};
@@ -43,6 +43,8 @@
     outbound: Arc<Outbound>,
     class: usize,
     tenant: Option<u16>,
+    /// When it came, as far as it had been read as it was taken.
+    came_at: Instant,
     /// How long the client waits from its last byte on, and until when it is answered; `None` while that byte is
     /// still to come.
     budget: Duration,
@@ -61,6 +63,20 @@
         self.answer.take()
     }
 
+    /// May its last byte have come, or be still to come, after that time?
+    fn may_end_after(&self, at: Instant) -> bool {
+        match &self.outbound.body {
+            RequestBody::Held(_) => self.came_at > at,
+            RequestBody::Open(upload) => !upload.is_whole() || upload.writing_at() > at,
+        }
+    }
+
+    /// It is answered by then at the latest, however long its body takes.
+    fn bound(&mut self, latest: Instant) {
+        self.at_the_latest = Some(latest);
+        self.answer_by = Some(self.answer_by.map_or(latest, |by| by.min(latest)));
+    }
+
     /// Is it unanswered, and has its client not left either, as far as is known?
     fn is_wanted(&self) -> bool {
         self.answer.as_ref().is_some_and(|to| !to.is_closed())
@@ -257,12 +273,7 @@
                 self.ban(servers);
                 let _ = to.send(());
             }
-            Happening::Ending(by) => {
-                self.ending_by = Some(by);
-                let now = Instant::now();
-                let half = by.saturating_duration_since(now) / 2;
-                self.timers.push(Reverse((now + half, Due::LeaveHung)));
-            }
+            Happening::Ending(shutdown) => self.end(shutdown),
             Happening::Plan(route, ends) => {
                 if let Some(part) = &mut self.part {
                     part.plan_ends = ends;
@@ -284,6 +295,21 @@
         }
     }
 
+    /// The process ends. Guards against requests that SIGKILL finds unanswered: their bodies were on their way at SIGTERM, and
+    /// the time of a client runs from its last byte.
+    fn end(&mut self, shutdown: Shutdown) {
+        let (now, latest) = (Instant::now(), shutdown.answer_by);
+        self.ending_by = Some(latest);
+        let half = latest.saturating_duration_since(now) / 2;
+        self.timers.push(Reverse((now + half, Due::LeaveHung)));
+        for (id, owed) in &mut self.requests {
+            if owed.may_end_after(shutdown.owed_after) {
+                owed.bound(latest);
+                self.timers.push(Reverse((latest, Due::Backstop(*id))));
+            }
+        }
+    }
+
     /// Gives up attempts that have been out for longer than an answer is to take, for requests that always may be sent
     /// again and would outlast the process. Half of its time is left for the next attempt.
     fn leave_hung(&mut self) {
@@ -324,11 +350,12 @@
         let (outbound, budget) = (Arc::new(inbound.outbound), inbound.budget);
         let by = ends.checked_sub(ANSWER_MARGIN).unwrap_or(now);
         let (answer, answer_by, attempts) = (Some(answer), Some(by), Vec::new());
-        let Inbound { class, tenant, cost, origin, answer_by: at_the_latest, .. } = inbound;
+        let Inbound { class, tenant, cost, origin, since: came_at, answer_by: at_the_latest, .. } = inbound;
         let call = outbound.headers.get("x-call-id");
         let unread = now.saturating_duration_since(inbound.since);
         tracing::debug!(request = id.0, ?call, class, ?budget, ?by, ?unread, "taken");
-        let owed = Owed { outbound, class, tenant, budget, answer_by, at_the_latest, answer, attempts };
+        let owed =
+            Owed { outbound, class, tenant, came_at, budget, answer_by, at_the_latest, answer, attempts };
         self.requests.insert(id, owed);
         self.timers.push(Reverse((by, Due::Backstop(id))));
         self.timers.extend(at_the_latest.map(|by| Reverse((by, Due::Backstop(id)))));
--- a/src/bin/juniperspoke/handle.rs
+++ b/src/bin/juniperspoke/handle.rs
@@ -48,6 +48,15 @@
     pub answer_by: Option<Instant>,
 }
 
+/// The process ends.
+#[derive(Clone, Copy, Debug)]
+pub struct Shutdown {
+    /// What comes later than this is lost if SIGKILL finds it unanswered.
+    pub owed_after: Instant,
+    /// When that has to be answered: the process may be killed soon after.
+    pub answer_by: Instant,
+}
+
 pub enum Happening {
     Request(RequestId, Box<Inbound>, oneshot::Sender<Answer>),
     HungUp(RequestId),
@@ -60,8 +69,7 @@
     Lists(ServerId, oneshot::Sender<bool>),
     /// These are out of use by hand; told once nothing new goes there.
     Banned(Vec<ServerId>, oneshot::Sender<()>),
-    /// The process ends, and may be killed from then on.
-    Ending(Instant),
+    Ending(Shutdown),
     /// The fleet's plan, and until when it acts.
     Plan(Arc<Route>, Instant),
     /// Someone takes out what has been counted.
--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -49,7 +49,7 @@
 use connection::BUFFER;
 use control::Control;
 use driver::Driver;
-use handle::Happening;
+use handle::{Happening, Shutdown};
 use heartbeat::Heartbeat;
 use life::{Life, Presence};
 use listener::ListenError;
@@ -87,6 +87,8 @@
 /// SIGKILL follows SIGTERM after the longest deadline, of which no more than this counts, and the grace.
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
 const KILL_GRACE: Duration = Duration::from_millis(700);
+/// What comes later than this after SIGTERM is owed its answer before SIGKILL.
+const OWED_AFTER: Duration = KILL_GRACE;
 /// New connections are accepted until so long before SIGKILL. Guards against one who asks without end whether the
 /// process is still there.
 const LISTEN_MARGIN: Duration = Duration::from_millis(100);
@@ -244,8 +246,10 @@
     }
     let heard_at = Instant::now();
     // It may have come at any time since the event loop last looked.
-    let kill_at = heartbeat.looked_at() + kill_after(&config);
-    handle.tell(Happening::Ending(life.end(kill_at)));
+    let not_before = heartbeat.looked_at();
+    let kill_at = not_before + kill_after(&config);
+    let shutdown = Shutdown { owed_after: not_before + OWED_AFTER, answer_by: life.end(kill_at) };
+    handle.tell(Happening::Ending(shutdown));
     let kill_after = kill_at.saturating_duration_since(heard_at);
     tracing::info!(?kill_after, connections = server.connections(), "SIGTERM: ending");
     let listen_for = kill_after.saturating_sub(LISTEN_MARGIN);
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -28,17 +28,22 @@
 /// A request that comes later than this after SIGTERM is owed its answer before SIGKILL.
 const OWED_AFTER: Duration = Duration::from_millis(700);
 
-/// Requests that come late in a shutdown have no answer from their server. The process is stopped from before SIGTERM until so
-/// long after, if at all.
-fn late_requests_are_answered_before_the_kill(stopped_for: Option<Duration>) {
-    let (upstream, mut sidecar) = answered(
+/// A sidecar with these deadlines, whose upstream takes requests and never answers.
+fn unanswered() -> (Upstream, Sidecar) {
+    answered(
         |_| Reply::Silence,
         |config| {
             for class in config["settings"]["requestClasses"].as_array_mut().expect("classes") {
                 class["deadline"] = json!(DEADLINE.as_secs_f64() * 1e3);
             }
         },
-    );
+    )
+}
+
+/// Requests that come late in a shutdown have no answer from their server. The process is stopped from before SIGTERM until so
+/// long after, if at all.
+fn late_requests_are_answered_before_the_kill(stopped_for: Option<Duration>) {
+    let (upstream, mut sidecar) = unanswered();
     let budget = DEADLINE.as_secs_f64();
     // What is out keeps the process; the others have not sent anything yet.
     let _out = sidecar.send(&call("pay", budget));
@@ -90,6 +95,44 @@
     }
 }
 
+/// Guards against long bodies on their way at SIGTERM that have no answer at the earliest SIGKILL: their clients' time runs from
+/// the last byte, and ended after it.
+#[test]
+fn a_long_body_on_its_way_at_sigterm_is_answered_before_the_earliest_sigkill() {
+    const LENGTH: usize = 200_000;
+    let (_upstream, mut sidecar) = unanswered();
+    let body = "x".repeat(LENGTH);
+    let request = || call("pay", DEADLINE.as_secs_f64());
+    let head = request().text().replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    let chunked = format!("{head}{LENGTH:x}\r\n{body}\r\n0\r\n\r\n");
+    let of_length = request().body(&body).text();
+    let mut on_their_way = [&of_length, &chunked].map(|text| {
+        let (early, late) = text.split_at(text.len() / 2);
+        let mut client = sidecar.connect();
+        client.write_all(early.as_bytes()).expect("written");
+        (client, late)
+    });
+    has_read(&sidecar);
+    let sigterm = Instant::now();
+    sidecar.terminate();
+    let wait_until = |after: Duration| std::thread::sleep(after.saturating_sub(sigterm.elapsed()));
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            wait_until(SIGKILL_AFTER);
+            sidecar.signal(Signal::SIGKILL);
+        });
+        wait_until(OWED_AFTER + Duration::from_millis(100));
+        for (client, late) in &mut on_their_way {
+            client.write_all(late.as_bytes()).expect("written");
+        }
+        for (client, _) in &mut on_their_way {
+            assert_eq!(Answer::read(client).status, 502);
+        }
+        assert!(sigterm.elapsed() < SIGKILL_AFTER);
+    });
+    sidecar.exit_code();
+}
+
 #[test]
 fn an_ending_sidecar_stays_for_what_is_owed_after_it_listens_no_more() {
     let (gate, upstream, mut sidecar) = gated(short);
