A client that has written all of a long body is answered in its time

Cause: a client was taken to be writing, and its time not to run, as long as more than 4 MiB of its body were left to be read, the most that its send buffer holds. The receive buffer of our socket, of several MB where a body is read fast, was forgotten, also for bodies of unknown length.

Change: the system is asked (TCP_INFO, in the module that has that call) how much has come; what is unread is added to the bound, and 128 KiB for the library's buffer and the overhang of a send buffer. Where the system does not tell, only an empty socket shows that a client writes.

Evidence: bodies.rs a_client_that_has_written_all_is_not_taken_to_be_writing, on a real socket, failed 2 of 2 times with the old bound and passes now; much_that_comes_later now has unread bytes as well.

--- a/src/bin/juniperspoke/bodies.rs
+++ b/src/bin/juniperspoke/bodies.rs
@@ -18,11 +18,14 @@
 
 /// The longest body that goes through.
 pub const LONGEST: u64 = 32 * 1024 * 1024;
-/// The most of a body that a client may have written before it is read here: as much as the system lets a send
-/// buffer grow to, if nobody has told it otherwise.
-const AHEAD: u64 = 4 * 1024 * 1024;
+/// The most of a body that the system of a client may hold of what it has written: as much as it lets a send buffer grow to,
+/// if nobody has told it otherwise.
+const SEND_BUFFER: u64 = 4 * 1024 * 1024;
+/// The most of a body that lies between a send buffer and the sockets here, and between these and who reads the body: the
+/// buffer of the HTTP library, and the segment by which a send buffer may be too full.
+const IN_BETWEEN: u64 = 128 * 1024;
 /// How much of a body of unknown length is read between two marks of the time.
-const STEP: u64 = AHEAD / 16;
+const STEP: u64 = SEND_BUFFER / 16;
 /// What has come fast pays for a pause of this length at most.
 const PAUSE: Duration = Duration::from_secs(2);
 /// What is wrong with a client's body.
@@ -47,6 +50,8 @@
     limit: Limit,
     /// The connection that it comes on.
     on: Heads,
+    /// The most that the client's system may hold of it.
+    send_buffer: u64,
     /// When the client was last known to have some of it still to write.
     writing_at: Instant,
     steps: Steps,
@@ -54,21 +59,33 @@
     turns: Turns,
 }
 
-/// When each of the last steps of a body of unknown length had been read, and how many there were in all.
+/// The most of a body that its client may have written, beyond what has been read. `unread` is in our socket, as far as the
+/// system tells, and up to `send_buffer` in the client's.
+fn most_ahead(unread: Option<u64>, send_buffer: u64) -> u64 {
+    unread.map_or(u64::MAX, |unread| unread + send_buffer + IN_BETWEEN)
+}
+
+/// How much of a body of unknown length its client may have written at the last steps, and how many there were in all.
 #[derive(Default)]
-struct Steps(VecDeque<Instant>, u64);
+struct Steps(VecDeque<Step>, u64);
+
+struct Step {
+    at: Instant,
+    /// The client had written no more than so much then.
+    most_written: u64,
+}
 
 impl Steps {
-    /// With so much read by now: when the client was last sure to have some of that to write, since more than the
-    /// system holds was still to be read then.
-    fn read(&mut self, read: u64, now: Instant) -> Option<Instant> {
+    /// With so much read by now: when the client was last sure to have some of that to write. `ahead` is the most that it
+    /// may have written beyond.
+    fn read(&mut self, read: u64, now: Instant, ahead: impl FnOnce() -> u64) -> Option<Instant> {
         let mut writing_at = None;
-        while read / STEP > self.1 {
-            self.1 += 1;
-            self.0.push_back(now);
-            if self.0.len() as u64 > AHEAD / STEP + 1 {
-                writing_at = self.0.pop_front();
-            }
+        if read / STEP > self.1 {
+            self.1 = read / STEP;
+            self.0.push_back(Step { at: now, most_written: read.saturating_add(ahead()) });
+        }
+        while self.0.front().is_some_and(|step| step.most_written < read) {
+            writing_at = self.0.pop_front().map(|step| step.at);
         }
         writing_at
     }
@@ -85,6 +102,7 @@
             waits_since: None,
             limit,
             on,
+            send_buffer: SEND_BUFFER,
             writing_at,
             steps,
             ended: false,
@@ -97,13 +115,18 @@
     /// upstream takes the body piece by piece.
     fn writing_at(&self) -> Instant {
         match self.left() {
-            Some(left) if left > AHEAD => Instant::now(),
+            Some(left) if left > self.send_buffer && left > self.most_ahead() => Instant::now(),
             Some(0) => self.writing_at,
             _ if self.ended => self.writing_at,
             _ => self.writing_at.max(self.on.waited_at()),
         }
     }
 
+    /// The most that the client may have written, beyond what has been read.
+    fn most_ahead(&self) -> u64 {
+        most_ahead(self.on.unread(), self.send_buffer)
+    }
+
     /// What is left, if the client has said.
     fn left(&self) -> Option<u64> {
         self.body.size_hint().exact()
@@ -136,7 +159,9 @@
             };
             self.room = room;
             if self.left().is_none() {
-                let writing_at = self.steps.read(LONGEST - room, Instant::now());
+                let (on, send_buffer) = (&self.on, self.send_buffer);
+                let ahead = || most_ahead(on.unread(), send_buffer);
+                let writing_at = self.steps.read(LONGEST - room, Instant::now(), ahead);
                 self.writing_at = self.writing_at.max(writing_at.unwrap_or(self.writing_at));
             }
             let earned = Duration::from_secs_f64(data.len() as f64 / RATE);
@@ -451,12 +476,62 @@
         }
     }
 
+    /// Reads a body of unknown length in steps, each after a second, with so much unread: when the client was last sure to
+    /// write, in seconds, after each.
+    fn read_in_steps(unread: Option<u64>) -> Vec<Option<u64>> {
+        let (start, mut steps) = (Instant::now(), Steps::default());
+        let ahead = most_ahead(unread, SEND_BUFFER);
+        let mut read = |step| steps.read(step * STEP, start + Duration::from_secs(step), || ahead);
+        (0..40).map(|step| read(step).map(|at| (at - start).as_secs())).collect()
+    }
+
     #[test]
     fn much_that_comes_later_was_not_written_before_the_system_had_room_for_it() {
-        let (start, mut steps) = (Instant::now(), Steps::default());
-        let mut sure = |read| steps.read(read, start + Duration::from_secs(read / STEP));
-        let found: Vec<_> = (0..40).map(|step| sure(step * STEP).map(|at| (at - start).as_secs())).collect();
-        let expected = (0..40_u64).map(|step| (step > 17).then(|| step - 17));
-        assert_eq!(found, expected.collect::<Vec<_>>());
+        let later_by =
+            |steps: u64| (0..40).map(|step| (step > steps).then(|| step - steps)).collect::<Vec<_>>();
+        assert_eq!(read_in_steps(Some(0)), later_by(17));
+        assert_eq!(
+            read_in_steps(Some(8 * STEP)),
+            later_by(25),
+            "what lies in the socket may have been written"
+        );
+        assert_eq!(read_in_steps(None), [None; 40], "all may have been");
+    }
+
+    /// Is a client taken to be writing a body of this length, a while after it has written so much of it and nothing has been
+    /// read? What its system may hold is little here.
+    async fn is_taken_to_be_writing(length: usize, written: usize) -> bool {
+        let (mut client, peer, heads) =
+            client(&format!("POST / HTTP/1.1\r\nContent-Length: {length}\r\n\r\n")).await;
+        let (told, mut heard) = unbounded_channel();
+        let of = heads.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let mut intake = Intake::new(request.into_body(), Duration::from_secs(60), of.clone());
+            intake.send_buffer = 1_000;
+            told.send(intake).expect("heard");
+            std::future::pending::<Result<Response<String>, BodyError>>()
+        });
+        let serving = spawn(async move {
+            http1::Builder::new().max_buf_size(BUFFER).serve_connection(TokioIo::new(peer), service).await
+        });
+        let intake = heard.recv().await.expect("a body");
+        client.write_all(&vec![b'x'; written]).expect("written");
+        while heads.unread().expect("known") + (BUFFER as u64) < written as u64 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        let writing_at = intake.writing_at();
+        sleep(Duration::from_secs(1)).await;
+        let is_writing = intake.writing_at() != writing_at;
+        serving.abort();
+        is_writing
+    }
+
+    /// Guards against an answer seconds after its time: a client that had written all of a long body was taken to be writing,
+    /// since more was left to be read than its system holds. The rest lay in our socket.
+    #[tokio::test(start_paused = true)]
+    async fn a_client_that_has_written_all_is_not_taken_to_be_writing_whatever_lies_in_the_socket() {
+        let written = 60_000;
+        assert!(!is_taken_to_be_writing(written, written).await);
+        assert!(is_taken_to_be_writing(written + 2 * IN_BETWEEN as usize, written).await, "it has some left");
     }
 }
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -73,20 +73,31 @@
 struct Known {
     framing: Framing,
     arrivals: Arrivals,
+    /// Bytes that have been read.
+    read: u64,
 }
 
 /// What is known of the heads on a client's connection, and of when it has let us wait.
 #[derive(Clone)]
-pub struct Heads(Arc<Mutex<Known>>);
+pub struct Heads {
+    known: Arc<Mutex<Known>>,
+    stream: Arc<TcpStream>,
+}
 
 impl Heads {
-    fn new(looks: Looks) -> Heads {
+    fn new(stream: Arc<TcpStream>, looks: Looks) -> Heads {
         let (framing, arrivals) = (Framing::new(), Arrivals::new(looks));
-        Heads(Arc::new(Mutex::new(Known { framing, arrivals })))
+        Heads { known: Arc::new(Mutex::new(Known { framing, arrivals, read: 0 })), stream }
     }
 
     fn known(&self) -> MutexGuard<'_, Known> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Bytes that have come and are unread, where the system tells.
+    pub fn unread(&self) -> Option<u64> {
+        let received = tcp_info::bytes_received(&*self.stream).ok()?;
+        Some(received.saturating_sub(self.known().read))
     }
 
     /// Does the next head, in the order in which they came, name two framings?
@@ -285,7 +296,8 @@
     }
 
     pub fn client(stream: TcpStream, looks: Looks) -> (Peer, Heads, Socket) {
-        let (stream, heads) = (Arc::new(stream), Heads::new(looks.clone()));
+        let stream = Arc::new(stream);
+        let heads = Heads::new(stream.clone(), looks.clone());
         let first_by = Some(Instant::now() + HEAD_PATIENCE);
         let reading = Patience { heads: heads.clone(), limit: Limit::default(), first_by };
         let peer = Peer::new(stream.clone(), Some(reading), Arc::default());
@@ -382,7 +394,7 @@
             peer.turns.note(&done);
             return done;
         };
-        let Known { framing, arrivals } = &mut *heads.known();
+        let Known { framing, arrivals, read } = &mut *heads.known();
         let found_empty = |at| arrivals.found_empty(at);
         let (room, shortage) = (framing.room(), &mut peer.read_shortage);
         let done = match turn {
@@ -404,6 +416,7 @@
         }
         if done.is_ready() {
             let heads = framing.heads();
+            *read += (buffer.filled().len() - before) as u64;
             framing.read(&buffer.filled()[before..]);
             if framing.heads() > 0 {
                 *first_by = None;
--- a/src/bin/juniperspoke/tcp_info.rs
+++ b/src/bin/juniperspoke/tcp_info.rs
@@ -32,9 +32,18 @@
     pub since_segment: Duration,
 }
 
+/// Bytes that have come on this connection, whether they have been read or not.
+pub fn bytes_received(socket: &impl AsFd) -> io::Result<u64> {
+    let (info, known) = get(socket)?;
+    if known < offset_of!(libc::tcp_info, tcpi_bytes_received) + size_of::<u64>() {
+        return Err(io::ErrorKind::Unsupported.into());
+    }
+    Ok(info.tcpi_bytes_received)
+}
+
 /// Asks the system.
 pub fn query(socket: &impl AsFd) -> io::Result<TcpInfo> {
-    let info = get(socket)?;
+    let (info, _) = get(socket)?;
     let peer_end = match info.tcpi_state {
         0 => return Err(io::ErrorKind::Unsupported.into()),
         CLOSE => PeerEnd::All,
@@ -46,8 +55,9 @@
     Ok(TcpInfo { peer_end, since_bytes, since_segment })
 }
 
+/// What the system tells, and how many bytes of that it knows.
 #[allow(unsafe_code)]
-fn get(socket: &impl AsFd) -> io::Result<libc::tcp_info> {
+fn get(socket: &impl AsFd) -> io::Result<(libc::tcp_info, usize)> {
     // SAFETY: it consists of integers alone, for which zeros are valid.
     let mut info: libc::tcp_info = unsafe { zeroed() };
     let mut length = size_of::<libc::tcp_info>() as libc::socklen_t;
@@ -67,10 +77,11 @@
     }
     // An older system may know less.
     let needed = offset_of!(libc::tcp_info, tcpi_last_ack_recv) + size_of::<u32>();
-    if (length as usize) < needed {
+    let known = length as usize;
+    if known < needed {
         return Err(io::ErrorKind::Unsupported.into());
     }
-    Ok(info)
+    Ok((info, known))
 }
 
 #[cfg(test)]
@@ -106,6 +117,13 @@
         assert!(info.since_segment + TICK >= WAIT, "{info:?}");
     }
 
+    #[test]
+    fn bytes_that_have_come_are_counted_before_they_are_read() {
+        let (mut client, ours) = pair();
+        client.write_all(&[0; 1_000]).expect("written");
+        assert_eq!(bytes_received(&ours).expect("known"), 1_000);
+    }
+
     #[test]
     fn a_reset_is_told_from_an_end_of_sending() {
         let (client, ours) = pair();
