A short answer that never ends is over half a second after its client's time

Change: after its client's time it goes on only while it keeps the pace of a long one, 32 kB a second from its first piece on, half of the slowest legal peer's. Any other is over 0.45 s after that time.

--- a/src/bin/juniperspoke/answer.rs
+++ b/src/bin/juniperspoke/answer.rs
@@ -112,8 +112,9 @@
     turns: Turns,
     /// Bytes passed on.
     passed: u64,
-    /// When its head came, and its last piece.
+    /// When its head came, its first piece, and its last one.
     started: Instant,
+    first_piece: Option<Instant>,
     last_piece: Instant,
     /// When its client's time ends.
     by: Instant,
@@ -138,6 +139,7 @@
             turns: Turns::default(),
             passed: 0,
             started,
+            first_piece: None,
             last_piece: started,
             by,
             content_type,
@@ -153,6 +155,7 @@
         let progress = StreamProgress {
             passed: self.passed,
             announced: self.size_hint().exact().unwrap_or(0),
+            first_piece: since_start(self.first_piece.unwrap_or(self.started)),
             last_piece: since_start(self.last_piece),
             deadline: since_start(self.by),
             longest: LONGEST_TIME,
@@ -205,6 +208,7 @@
             match frame {
                 Some(Ok(frame)) if frame.is_data() => {
                     this.last_piece = Instant::now();
+                    this.first_piece.get_or_insert(this.last_piece);
                     this.passed += frame.data_ref().map_or(0, |data| data.len() as u64);
                     if this.passed > LONGEST {
                         return this.cut(Cut::TooLong);
