Nothing begins for a client that may have closed behind a long body of its own

Cause: only some of a long body is read before an attempt, so its client's end lies behind bytes that our socket has no room for, and no call tells of it. For whole requests such an end was held to be possible; for a body on its way it was left out, as its end can't be told. The time from which such a client counted was that of the last read, though the system of a closed client goes on sending.

Change: the same rule for both, counted from when the client was last known to be there: its socket was empty without an end, something came to an empty socket, or it took an answer. Where nothing may begin any more the module is told so and answers at once; it waited for the end of the client's time. So that clients who stay can begin in time, a long body takes no room in the window while it waits for its connection, and a connection does 4 pieces of work in a row, not 16.

--- a/src/api.rs
+++ b/src/api.rs
@@ -289,6 +289,8 @@
 pub enum Progress {
     /// The client still waits for a final answer.
     Owed,
+    /// It may still wait, or have left: it is owed an answer, and nothing more may begin for it.
+    OwedNoAttempt,
     /// The client has its answer, or has left.
     Ended,
 }
@@ -331,6 +333,14 @@
         /// The time since it was sent.
         took: Duration,
     },
+    /// An attempt whose body is not held waits for its connection. Its server does nothing for it yet, and all of the body
+    /// can still go elsewhere.
+    Connecting {
+        /// The request.
+        id: RequestId,
+        /// The attempt that waits.
+        attempt: usize,
+    },
     /// More of the request's body goes out with this attempt than is held. It can't be sent again, and until
     /// all of it has gone its server does nothing for it and its client's time does not run.
     Uploading {
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -121,6 +121,7 @@
             }
             Event::Probed { server, outcome, held } => self.probed(server, outcome, held, out),
             Event::StreamStarted { id, attempt, took } => self.stream(id, attempt, ms(took), out),
+            Event::Connecting { id, attempt } => self.connecting(id, attempt),
             Event::Uploading { id, attempt } => self.uploading(id, attempt),
             Event::Uploaded { id, attempt } => self.uploaded(id, attempt, out),
             Event::Timer(ASK_TIMER) => out.push(Action::Subscribe),
@@ -684,7 +685,8 @@
         // Guards against a retry storm: what cost the server work is repeated only on budget.
         let price = if matches!(outcome, Outcome::ConnectFailed | Outcome::Moot) { 0.0 } else { 1.0 };
         let left = request.ends - self.now - self.expected(&job);
-        if left <= 0.0 || self.allowed(request).is_none() || self.retries < price {
+        let may_go_on = progress == Progress::Owed && self.allowed(request).is_some();
+        if left <= 0.0 || !may_go_on || self.retries < price {
             return self.give_up(id, out);
         }
         self.retries -= price;
--- a/src/bin/juniperspoke/arrivals.rs
+++ b/src/bin/juniperspoke/arrivals.rs
@@ -31,6 +31,16 @@
         if self.waits { Instant::now() } else { self.waited_until }
     }
 
+    /// When its client was last known to be there: the socket was empty and had no end, or something came to an empty socket.
+    /// What comes while there is more to be read may have been written long before, by a client that has closed since.
+    pub fn sender_present_at(&self) -> Instant {
+        match self.waits {
+            true if self.is_behind => self.empty_at,
+            true => self.empty_at.max(self.looks.latest()),
+            false => self.waited_until,
+        }
+    }
+
     /// When the last of what has been read came.
     pub fn last(&self) -> Instant {
         self.last
@@ -111,6 +121,22 @@
         assert_eq!(arrivals.last().elapsed(), HELD_UP);
     }
 
+    /// Guards against taking a client for present that has closed behind much: its system goes on sending what it had written.
+    #[tokio::test(start_paused = true)]
+    async fn what_comes_while_there_is_more_to_read_does_not_tell_that_its_client_is_there() {
+        let mut arrivals = Arrivals::new(Looks::from_now());
+        arrivals.wait();
+        let written_at = Instant::now();
+        arrivals.read(|| None);
+        advance(HELD_UP).await;
+        arrivals.read(|| Some(Duration::ZERO));
+        assert_eq!(arrivals.last(), Instant::now());
+        assert_eq!(arrivals.sender_present_at(), written_at);
+        arrivals.wait();
+        arrivals.looks = Looks::from_now();
+        assert_eq!(arrivals.sender_present_at(), Instant::now(), "there was nothing more, nor an end");
+    }
+
     #[tokio::test(start_paused = true)]
     async fn what_is_read_right_after_a_look_is_new_and_the_system_is_not_asked() {
         let mut arrivals = Arrivals::new(Looks::from_now());
--- a/src/bin/juniperspoke/client.rs
+++ b/src/bin/juniperspoke/client.rs
@@ -15,8 +15,8 @@
     if let Some(ended) = socket.unseen_end() {
         return Some(Unseen::Ended(ended));
     }
-    let read_at = heads.arrived_at();
-    let since = locked(present_at).map_or(read_at, |present_at| read_at.max(present_at));
+    let sent_at = heads.client_present_at();
+    let since = locked(present_at).map_or(sent_at, |present_at| sent_at.max(present_at));
     let is_hidden = !may_begin(since.elapsed()) && socket.may_hide_an_end();
     is_hidden.then_some(Unseen::Hidden(since))
 }
@@ -79,12 +79,12 @@
     }
 
     /// Whether the client is there, for a request that is read now: to its end, or as far as it is held.
-    pub fn end_of_request(&self, is_whole: bool) -> RequestEnd {
+    pub fn end_of_request(&self) -> RequestEnd {
         let has_ended = self.socket.has_ended();
         if has_ended {
             self.note_end();
         }
-        self.end.of_request(has_ended, is_whole)
+        self.end.of_request(has_ended)
     }
 
     /// Its client has ended, by what its socket tells.
--- a/src/bin/juniperspoke/driver.rs
+++ b/src/bin/juniperspoke/driver.rs
@@ -77,6 +77,17 @@
         self.answer_by = Some(self.answer_by.map_or(latest, |by| by.min(latest)));
     }
 
+    /// What the module is told of it as an attempt ends.
+    fn progress(&self) -> Progress {
+        if self.answer.is_none() {
+            Progress::Ended
+        } else if self.outbound.end.lets_begin() {
+            Progress::Owed
+        } else {
+            Progress::OwedNoAttempt
+        }
+    }
+
     /// Is it unanswered, and has its client not left either, as far as is known?
     fn is_wanted(&self) -> bool {
         self.answer.as_ref().is_some_and(|to| !to.is_closed())
@@ -323,8 +334,9 @@
                 let took = flight.sent.elapsed();
                 flight.out.take().into_iter().for_each(|out| out.abort());
                 tracing::info!(request = id.0, attempt, ?took, "attempt given up: the process ends");
-                let (outcome, progress) = (Outcome::Timeout, Progress::Owed);
+                let outcome = Outcome::Timeout;
                 self.count_outcome(id, attempt, outcome, took);
+                let progress = self.requests.get(&id).map_or(Progress::Ended, Owed::progress);
                 self.handle_event(Event::Outcome { id, attempt, outcome, took, progress });
             }
         }
@@ -413,8 +425,7 @@
         if outcome == Outcome::Ok {
             self.answer(id, Answer::Served(served));
         }
-        let owed = self.requests.get(&id).is_some_and(|owed| owed.answer.is_some());
-        let progress = if owed { Progress::Owed } else { Progress::Ended };
+        let progress = self.requests.get(&id).map_or(Progress::Ended, Owed::progress);
         self.handle_event(Event::Outcome { id, attempt, outcome, took, progress });
         self.forget(id);
     }
@@ -491,7 +502,7 @@
                 flight.out.take()?.abort();
                 let took = flight.sent.elapsed();
                 tracing::debug!(request = id.0, attempt, ?took, "attempt cancelled");
-                let progress = if owed.answer.is_some() { Progress::Owed } else { Progress::Ended };
+                let progress = owed.progress();
                 // A request that a silent site sits on is served elsewhere long before its attempt there times out.
                 let aim =
                     self.config.settings.classes.get(owed.class).map_or(Duration::MAX, |class| class.aim);
@@ -547,7 +558,7 @@
         let Some(target) = target else {
             tracing::debug!(request = id.0, attempt, server = server.0, begins, "attempt not begun");
             owed.attempts.push(Flight { sent: at, out: None, zone: u16::MAX, counted: false });
-            let progress = if owed.is_wanted() { Progress::Owed } else { Progress::Ended };
+            let progress = if owed.is_wanted() { owed.progress() } else { Progress::Ended };
             let (outcome, took) = (Outcome::Moot, Duration::ZERO);
             return Some(Event::Outcome { id, attempt, outcome, took, progress });
         };
@@ -560,11 +571,14 @@
         let terms = Terms { since: at, timeout, begin_by };
         let task = self.upstreams.clone().attempt(target, owed.outbound.clone(), terms, report);
         let out = Some(tokio::spawn(task).abort_handle());
+        let is_open = matches!(owed.outbound.body, RequestBody::Open(_));
         owed.attempts.push(Flight { sent: at, out, zone, counted: false });
         if let Some(part) = &mut self.part {
             part.tally.note_sent(zone, owed.tenant);
         }
-        None
+        // Guards against long bodies that wait for one another's connections: an end of their clients may be hidden, so that
+        // they have to begin soon.
+        is_open.then_some(Event::Connecting { id, attempt })
     }
 
     /// Brings the addresses up to date; the lines go on to the module.
--- a/src/bin/juniperspoke/leaving.rs
+++ b/src/bin/juniperspoke/leaving.rs
@@ -32,7 +32,7 @@
 pub enum Unseen {
     /// It has ended so.
     Ended(Ended),
-    /// So much of it lies unread that an end behind it could not reach us. The last that has been read came then.
+    /// So much of it lies unread that an end behind it could not reach us. It was last known to be there then.
     Hidden(Instant),
 }
 
@@ -64,18 +64,17 @@
         *self.noted.borrow()
     }
 
-    /// For a request that is read now. `waits` says that its client has ended by now, `is_whole` that its last byte has
-    /// been read: what is unread is behind it then.
-    pub fn of_request(self: &Arc<Self>, waits: bool, is_whole: bool) -> RequestEnd {
-        RequestEnd { waits, is_whole, end: self.clone(), settled: Arc::default() }
+    /// For a request that is read now. `waits` says that its client has ended by now.
+    pub fn of_request(self: &Arc<Self>, waits: bool) -> RequestEnd {
+        RequestEnd { waits, end: self.clone(), settled: Arc::default() }
     }
 
-    fn lets_begin(&self, is_whole: bool) -> bool {
+    fn lets_begin(&self) -> bool {
         if self.noted().is_none() {
             match (self.unseen)() {
                 Some(Unseen::Ended(ended)) => self.note(ended),
-                Some(Unseen::Hidden(since)) if is_whole => return may_begin(since.elapsed()),
-                _ => {}
+                Some(Unseen::Hidden(since)) => return may_begin(since.elapsed()),
+                None => {}
             }
         }
         self.noted().is_none_or(Ended::lets_begin)
@@ -87,7 +86,6 @@
 pub struct RequestEnd {
     /// The client had ended its sending before.
     waits: bool,
-    is_whole: bool,
     end: Arc<End>,
     /// It has been answered, or dropped by whoever waited on it.
     settled: Arc<AtomicBool>,
@@ -101,7 +99,7 @@
 
     /// May an attempt begin now?
     pub fn lets_begin(&self) -> bool {
-        !self.settled.load(Ordering::Relaxed) && self.end.lets_begin(self.is_whole)
+        !self.settled.load(Ordering::Relaxed) && self.end.lets_begin()
     }
 
     /// Waits until the client has left. Who had only ended its sending with this request has left once it resets.
@@ -117,7 +115,7 @@
 impl RequestEnd {
     /// Of a client that stays.
     pub fn never() -> RequestEnd {
-        Arc::new(End::new(|| None)).of_request(false, true)
+        Arc::new(End::new(|| None)).of_request(false)
     }
 }
 
@@ -132,10 +130,10 @@
     async fn who_ends_with_its_request_may_wait_and_who_ends_later_has_left() {
         for waits in [true, false] {
             let end = Arc::new(End::new(|| None));
-            let later = end.of_request(false, true);
+            let later = end.of_request(false);
             end.note(Ended::Sending(Instant::now()));
-            let request = if waits { end.of_request(true, true) } else { later };
-            let other = end.of_request(true, true);
+            let request = if waits { end.of_request(true) } else { later };
+            let other = end.of_request(true);
             other.clone().settle();
             assert!(!other.lets_begin(), "answered, or dropped");
             assert!(request.lets_begin(), "what is about to be sent is not held back");
@@ -151,7 +149,7 @@
     async fn who_has_reset_has_left_though_it_had_ended_its_sending_before() {
         let end = Arc::new(End::new(|| None));
         end.note(Ended::Sending(Instant::now()));
-        let request = end.of_request(true, true);
+        let request = end.of_request(true);
         assert!(request.lets_begin());
         end.note(Ended::Reset);
         assert!(!request.lets_begin());
@@ -163,19 +161,19 @@
         let long_ago = Instant::now();
         advance(Duration::from_secs(1)).await;
         let end = Arc::new(End::new(move || Some(Unseen::Ended(Ended::Sending(long_ago)))));
-        assert!(!end.of_request(false, true).lets_begin());
+        assert!(!end.of_request(false).lets_begin());
     }
 
-    /// Guards against attempts for a client whose end lies behind what is not read: it may have closed long ago.
+    /// Guards against attempts for a client whose end lies behind what is not read, be it of its own body: it may have closed
+    /// long ago.
     #[tokio::test(start_paused = true)]
-    async fn nothing_begins_long_after_the_last_that_was_read_where_an_end_would_be_hidden() {
-        let read_at = Instant::now();
-        let end = Arc::new(End::new(move || Some(Unseen::Hidden(read_at))));
-        let (whole, uploading) = (end.of_request(false, true), end.of_request(false, false));
-        assert!(whole.lets_begin(), "it has just sent");
+    async fn nothing_begins_long_after_a_client_was_there_where_its_end_would_be_hidden() {
+        let present_at = Instant::now();
+        let end = Arc::new(End::new(move || Some(Unseen::Hidden(present_at))));
+        let request = end.of_request(false);
+        assert!(request.lets_begin(), "it has just sent");
         advance(BEGINS_AFTER_END + Duration::from_millis(1)).await;
-        assert!(!whole.lets_begin());
-        assert!(uploading.lets_begin(), "what is unread is its own");
+        assert!(!request.lets_begin());
         assert_eq!(end.noted(), None, "it may be there");
     }
 }
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -116,6 +116,11 @@
         known.arrivals.waited_until()
     }
 
+    /// When its client was last known to be there, by what it has sent.
+    pub fn client_present_at(&self) -> Instant {
+        self.known().arrivals.sender_present_at()
+    }
+
     /// When the last of what has been read came, which may be long before it was read.
     pub fn arrived_at(&self) -> Instant {
         self.known().arrivals.last()
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -385,7 +385,7 @@
             let Some(upload) = &upload else { return end.left().await };
             // Until then the end may lie behind the request's last byte.
             upload.read_whole().await;
-            on.end_of_request(true).left().await;
+            on.end_of_request().left().await;
         };
         let answer = tokio::select! {
             biased;
@@ -457,7 +457,7 @@
             .map_err(improper)?;
         // A client's time runs from its last byte, whenever that is read.
         let since = on.heads.arrived_at();
-        let end = on.end_of_request(matches!(body, RequestBody::Held(_)));
+        let end = on.end_of_request();
         let answer_by = self.life.now().answer_by;
         let budget = answer_by.map_or(budget, |by| budget.min(by.saturating_duration_since(since)));
         if idempotency == Idempotency::Idempotent
--- a/src/bin/juniperspoke/turns.rs
+++ b/src/bin/juniperspoke/turns.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinHandle;
 
 /// Pieces of work that a connection does before the others have their turn.
-const IN_A_ROW: u32 = 16;
+const IN_A_ROW: u32 = 4;
 
 /// Counts one connection's pieces of work.
 #[derive(Default)]
--- a/src/bin/juniperspoke/upstream.rs
+++ b/src/bin/juniperspoke/upstream.rs
@@ -478,7 +478,7 @@
             asking.fetch_add(1, Ordering::Relaxed);
             None
         };
-        let outbound = outbound(body, Arc::new(End::new(ask)).of_request(false, true));
+        let outbound = outbound(body, Arc::new(End::new(ask)).of_request(false));
         let attempt = to.clone().attempt(target(addr, true), outbound.clone(), terms(LONG), Arc::new(report));
         let mut attempt = Box::pin(attempt);
         loop {
--- a/src/state.rs
+++ b/src/state.rs
@@ -460,12 +460,20 @@
         }
     }
 
-    /// A body is on its way out: its server has nothing to do for it yet.
+    /// A body that is not held begins to go out.
     pub(crate) fn uploading(&mut self, id: RequestId, no: usize) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if request.attempts.get(no).is_some_and(|attempt| attempt.fate == Fate::Out) {
+            request.spent = true;
+            self.connecting(id, no);
+        }
+    }
+
+    /// A body that is not held is on its way out, or about to be: its server has nothing to do for it yet.
+    pub(crate) fn connecting(&mut self, id: RequestId, no: usize) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = request.attempts.get(no).filter(|a| a.fate == Fate::Out) else { return };
         let server = attempt.server;
-        request.spent = true;
         if request.phase == Phase::Sent {
             request.phase = Phase::Uploading;
             self.land(server, (id, no));
--- a/tests/harmful_clients.rs
+++ b/tests/harmful_clients.rs
@@ -232,3 +232,40 @@
     sidecar.wait_until("its end", |sidecar| sidecar.figure("inflight") == 0);
     assert_eq!(tried.load(Ordering::SeqCst), 1, "attempts after its client's end");
 }
+
+/// Guards against attempts for clients that have closed behind long bodies: of these so much is unread that no end reaches us.
+/// Who is still there is refused at once.
+#[test]
+fn nothing_begins_for_a_client_that_closed_behind_a_long_body() {
+    /// Attempts are allowed to begin for so long after the end.
+    const ALLOWED: Duration = Duration::from_millis(100);
+    /// More than is read before an attempt and fits into a socket, and little enough to be written at once.
+    const LENGTH: usize = 300_000;
+    let (upstream, sidecar) = served(|config| {
+        with_door(config);
+        config["settings"]["requestClasses"][0]["aim"] = json!(120_000.0);
+    });
+    // All wait for an upstream that takes requests.
+    sidecar.discovery.tell(2, true, &[upstream.line("Terminating")]);
+    let body = "x".repeat(LENGTH);
+    let of_length = || call("pay", 20.0).body(&body).text();
+    let head = call("pay", 20.0).text().replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    let chunked = format!("{head}{}0\r\n\r\n", chunks(&body, 10_000).concat());
+    let longer = call("pay", 20.0).body(&body.repeat(3)).text();
+    let (half, _) = longer.split_at(LENGTH);
+    let left = [of_length().as_str(), &chunked, half].map(|text| {
+        let mut client = sidecar.connect();
+        client.write_all(text.as_bytes()).expect("written");
+        client
+    });
+    let mut stays = sidecar.connect();
+    stays.write_all(of_length().as_bytes()).expect("written");
+    sidecar.wait_until("them", |sidecar| sidecar.figure("inflight") == 4);
+    drop(left);
+    sleep(ALLOWED);
+    sidecar.discovery.tell(3, true, &[upstream.line("Ready")]);
+    assert_eq!(Answer::read(&mut stays).status, 503);
+    sidecar.serves(1, 5.0);
+    sidecar.wait_until("the end of all", |sidecar| sidecar.figure("inflight") == 0);
+    assert_eq!(upstream.requests().len(), 1, "attempts after their clients' end");
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -744,6 +744,44 @@
     assert!(!said.iter().any(|a| matches!(a, Action::Send { .. })), "{said:?}");
 }
 
+/// Guards against long bodies that wait for one another's connections: an end of their clients may be hidden meanwhile, and then
+/// nothing may begin any more.
+#[test]
+fn an_attempt_whose_body_waits_for_its_connection_takes_no_room_from_others() {
+    let mut rig = rig(SAFE, 1).after(20, 30);
+    for _ in 0..200 {
+        let (id, said) = rig.ask();
+        assert!(sent(&said).is_some(), "{id:?} waits");
+        rig.tell(Event::Connecting { id, attempt: 0 });
+    }
+    // All of such a body can still go elsewhere, and its attempt counts once it has gone out.
+    let mut rig = self::rig(SAFE, 2).after(20, 30);
+    let (id, said) = rig.ask();
+    rig.tell(Event::Connecting { id, attempt: 0 });
+    let again = sent(&rig.end(id, 0, Outcome::ConnectFailed, 50));
+    assert!(again.is_some() && again != sent(&said));
+    rig.tell(Event::Connecting { id, attempt: 1 });
+    rig.tell(Event::Uploading { id, attempt: 1 });
+    rig.tell(Event::Uploaded { id, attempt: 1 });
+    assert!(rig.end(id, 1, Outcome::Ok, 30).is_empty());
+}
+
+/// Guards against holding a client to the end of its time for whom nothing may begin any more.
+#[test]
+fn where_no_attempt_may_begin_any_more_the_answer_comes_at_once() {
+    for (idempotency, outcome, is_refused) in [
+        (SAFE, Outcome::Reset, true),
+        (Idempotency::NonIdempotent, Outcome::ConnectFailed, true),
+        (Idempotency::NonIdempotent, Outcome::Reset, false),
+    ] {
+        let mut rig = rig(idempotency, 3).after(20, 30);
+        let (id, _) = rig.ask();
+        let (took, progress) = (ms(5), Progress::OwedNoAttempt);
+        let said = rig.tell(Event::Outcome { id, attempt: 0, outcome, took, progress });
+        assert_eq!((refused(&said), failed(&said)), (is_refused, !is_refused), "{outcome:?}: {said:?}");
+    }
+}
+
 #[test]
 fn a_cheap_request_that_stood_in_a_queue_does_not_damn_its_server() {
     let mut rig = rig(SAFE, 2);
