Tests: late requests and long bodies at SIGTERM wait for the kill in one place

Both plays stood twice in endings.rs. What each asserts is as before: all are answered before the earliest SIGKILL, the late requests with no 200, the long bodies with 502.

--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -6,7 +6,7 @@
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use std::io::{Read, Write};
-use std::net::Shutdown;
+use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 use world::*;
 
@@ -40,23 +40,15 @@
     )
 }
 
-/// Requests that come late in a shutdown have no answer from their server. The process is stopped from before SIGTERM until so
-/// long after, if at all.
-fn late_requests_are_answered_before_the_kill(stopped_for: Option<Duration>) {
-    let (upstream, mut sidecar) = unanswered();
-    let budget = DEADLINE.as_secs_f64();
-    // What is out keeps the process; the others have not sent anything yet.
-    let _out = sidecar.send(&call("pay", budget));
-    upstream.wait_for("the request", |state| state.requests.len() == 1);
-    let mut late: Vec<_> = (0..4).map(|_| sidecar.connect()).collect();
-    has_read(&sidecar);
-    if stopped_for.is_some() {
-        sidecar.pause_at_rest();
-    }
+/// Tells the process to end, writes to each of these clients what is left of its request, later than 0.7 s after that, and reads
+/// their answers before SIGKILL. The process is stopped until so long after SIGTERM, if at all.
+fn answered_before_the_kill(
+    mut sidecar: Sidecar, stopped_for: Option<Duration>, clients: &mut [(TcpStream, String)],
+) -> Vec<u16> {
     let sigterm = Instant::now();
     sidecar.terminate();
     let wait_until = |after: Duration| std::thread::sleep(after.saturating_sub(sigterm.elapsed()));
-    std::thread::scope(|scope| {
+    let statuses = std::thread::scope(|scope| {
         scope.spawn(|| {
             wait_until(SIGKILL_AFTER);
             sidecar.signal(Signal::SIGKILL);
@@ -69,15 +61,32 @@
             });
         }
         wait_until(OWED_AFTER + Duration::from_millis(100));
-        for client in &mut late {
-            client.write_all(call("pay", budget).text().as_bytes()).expect("written");
-        }
-        for client in &mut late {
-            assert_ne!(Answer::read(client).status, 200);
+        for (client, left) in clients.iter_mut() {
+            client.write_all(left.as_bytes()).expect("written");
         }
+        let statuses = clients.iter_mut().map(|(client, _)| Answer::read(client).status).collect();
         assert!(sigterm.elapsed() < SIGKILL_AFTER);
+        statuses
     });
     sidecar.exit_code();
+    statuses
+}
+
+/// Requests that come late in a shutdown have no answer from their server. The process is stopped from before SIGTERM until so
+/// long after, if at all.
+fn late_requests_are_answered_before_the_kill(stopped_for: Option<Duration>) {
+    let (upstream, sidecar) = unanswered();
+    let request = || call("pay", DEADLINE.as_secs_f64());
+    // What is out keeps the process; the others have not sent anything yet.
+    let _out = sidecar.send(&request());
+    upstream.wait_for("the request", |state| state.requests.len() == 1);
+    let mut late: Vec<_> = (0..4).map(|_| (sidecar.connect(), request().text())).collect();
+    has_read(&sidecar);
+    if stopped_for.is_some() {
+        sidecar.pause_at_rest();
+    }
+    let statuses = answered_before_the_kill(sidecar, stopped_for, &mut late);
+    assert!(!statuses.contains(&200), "{statuses:?}");
 }
 
 /// Incident 315391: requests that came late in a shutdown were sent on and had no answer when SIGKILL came.
@@ -100,7 +109,7 @@
 #[test]
 fn a_long_body_on_its_way_at_sigterm_is_answered_before_the_earliest_sigkill() {
     const LENGTH: usize = 200_000;
-    let (_upstream, mut sidecar) = unanswered();
+    let (_upstream, sidecar) = unanswered();
     let body = "x".repeat(LENGTH);
     let request = || call("pay", DEADLINE.as_secs_f64());
     let head = request().text().replace("Content-Length: 0", "Transfer-Encoding: chunked");
@@ -110,27 +119,10 @@
         let (early, late) = text.split_at(text.len() / 2);
         let mut client = sidecar.connect();
         client.write_all(early.as_bytes()).expect("written");
-        (client, late)
+        (client, late.to_owned())
     });
     has_read(&sidecar);
-    let sigterm = Instant::now();
-    sidecar.terminate();
-    let wait_until = |after: Duration| std::thread::sleep(after.saturating_sub(sigterm.elapsed()));
-    std::thread::scope(|scope| {
-        scope.spawn(|| {
-            wait_until(SIGKILL_AFTER);
-            sidecar.signal(Signal::SIGKILL);
-        });
-        wait_until(OWED_AFTER + Duration::from_millis(100));
-        for (client, late) in &mut on_their_way {
-            client.write_all(late.as_bytes()).expect("written");
-        }
-        for (client, _) in &mut on_their_way {
-            assert_eq!(Answer::read(client).status, 502);
-        }
-        assert!(sigterm.elapsed() < SIGKILL_AFTER);
-    });
-    sidecar.exit_code();
+    assert_eq!(answered_before_the_kill(sidecar, None, &mut on_their_way), [502, 502]);
 }
 
 #[test]
