--- a/review/stage-2.rs
+++ b/review/stage-2.rs
@@ -141,12 +141,22 @@
 
 // ---- upstreams ----
 
+/// What an upstream answers.
+#[derive(Clone, Copy)]
+enum Answers {
+    /// The request's id.
+    Id,
+    /// 64 kB in ten pieces, 50 ms apart.
+    Much,
+}
+
 /// An upstream serves each request after so many ms, and notes when its first byte came.
 struct Upstream {
     id: &'static str,
     zone: &'static str,
     addr: SocketAddr,
     work: u64,
+    answers: Answers,
     got: Mutex<Vec<Run>>,
 }
 
@@ -162,10 +172,10 @@
 }
 
 impl Upstream {
-    fn start(id: &'static str, zone: &'static str, work: u64) -> Arc<Upstream> {
+    fn start(id: &'static str, zone: &'static str, work: u64, answers: Answers) -> Arc<Upstream> {
         let listener = listen();
         let addr = listener.local_addr().expect("an address");
-        let upstream = Arc::new(Upstream { id, zone, addr, work, got: Mutex::default() });
+        let upstream = Arc::new(Upstream { id, zone, addr, work, answers, got: Mutex::default() });
         note(format_args!("upstream {id} is at {addr}"));
         let of = upstream.clone();
         spawn(move || {
@@ -184,11 +194,20 @@
             let call = request.header("x-call-id").to_owned();
             note(format_args!("upstream {} runs {call}, begun at {:.1}", self.id, request.began));
             let codings = request.header("transfer-encoding").to_owned();
-            let run = Run { began: request.began, call: call.clone(), codings, body: request.body };
+            let is_kept = matches!(self.answers, Answers::Id);
+            let body = if is_kept { request.body } else { Vec::new() };
+            let run = Run { began: request.began, call: call.clone(), codings, body };
             self.got.lock().expect("no panic").push(run);
             sleep(ms(self.work));
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{call}", call.len());
-            if stream.write_all(answer.as_bytes()).is_err() {
+            let (answer, pieces) = if is_kept { (call.into_bytes(), 1) } else { (vec![b'z'; 64_000], 10) };
+            let mut goes_on = write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", answer.len()).is_ok();
+            for piece in answer.chunks(answer.len().div_ceil(pieces)) {
+                goes_on = goes_on && stream.write_all(piece).is_ok();
+                if pieces > 1 {
+                    sleep(ms(50));
+                }
+            }
+            if !goes_on {
                 return;
             }
         }
@@ -587,10 +606,10 @@
 const USUAL: Limits = Limits { memory_mb: 64, sockets: 384 };
 
 /// Ten upstreams in two zones, and their lines in the list.
-fn upstreams() -> (Vec<Arc<Upstream>>, Vec<String>) {
+fn upstreams(work: u64, answers: Answers) -> (Vec<Arc<Upstream>>, Vec<String>) {
     let ids = ["s-01", "s-02", "s-03", "s-04", "s-05", "s-06", "s-07", "s-08", "s-09", "s-10"];
     let zones = ["praha", "brno"];
-    let all: Vec<_> = (0..10).map(|at| Upstream::start(ids[at], zones[at / 5], 30)).collect();
+    let all: Vec<_> = (0..10).map(|at| Upstream::start(ids[at], zones[at / 5], work, answers)).collect();
     let lines = all.iter().map(|upstream| upstream.line("Ready")).collect();
     (all, lines)
 }
@@ -620,7 +639,7 @@
 
 /// A new configuration moves discovery to an address where each call has to wait.
 fn slow_discovery_after_sighup(root: &Path, trouble: bool) -> bool {
-    let (upstreams, ready) = upstreams();
+    let (upstreams, ready) = upstreams(30, Answers::Id);
     let old = Discovery::start("the old discovery", 41, ready.clone());
     let new = Discovery::start("the new discovery", 41, ready.clone());
     let sidecars = sidecars(root, 3, USUAL, &old, &ready);
@@ -643,7 +662,7 @@
 
 /// One of three sidecars is killed and comes back with the list that it had, while each call at discovery has to wait.
 fn slow_discovery_after_restart(root: &Path, trouble: bool) -> bool {
-    let (upstreams, ready) = upstreams();
+    let (upstreams, ready) = upstreams(30, Answers::Id);
     let discovery = Discovery::start("discovery", 41, ready.clone());
     let mut sidecars = sidecars(root, 3, USUAL, &discovery, &ready);
     let before = now() + 2_000.0;
@@ -666,7 +685,7 @@
 /// Idle peers, which send nothing and stay, fill the descriptors of a sidecar with the fewest.
 fn crowd(root: &Path, trouble: bool) -> bool {
     const IDLE: usize = 240;
-    let (_upstreams, ready) = upstreams();
+    let (_upstreams, ready) = upstreams(30, Answers::Id);
     let discovery = Discovery::start("discovery", 41, ready.clone());
     let sidecars = sidecars(root, 3, Limits { memory_mb: 64, sockets: 256 }, &discovery, &ready);
     let clients = traffic(&sidecars[0], 8, 100, now() + 8_000.0);
@@ -707,7 +726,7 @@
 
 /// Clients that use less than a third of the descriptors, most of them for long bodies at 64 kB a second.
 fn uploads(root: &Path, trouble: bool) -> bool {
-    let (_upstreams, ready) = upstreams();
+    let (_upstreams, ready) = upstreams(30, Answers::Id);
     let discovery = Discovery::start("discovery", 41, ready.clone());
     let sidecars = sidecars(root, 3, Limits { memory_mb: 32, sockets: 1_024 }, &discovery, &ready);
     slow_uploads(&sidecars[0], if trouble { 230 } else { 0 }, 512_000);
@@ -719,7 +738,7 @@
 /// Clients that have been served stay idle until the sidecar ends their connections, and so fill its places, while some
 /// others send long bodies at 64 kB a second.
 fn idle_clients(root: &Path, trouble: bool) -> bool {
-    let (_upstreams, ready) = upstreams();
+    let (_upstreams, ready) = upstreams(30, Answers::Id);
     let discovery = Discovery::start("discovery", 41, ready.clone());
     let sidecars = sidecars(root, 3, Limits { memory_mb: 64, sockets: 256 }, &discovery, &ready);
     slow_uploads(&sidecars[0], 24, 768_000);
@@ -760,7 +779,7 @@
 
 /// Clients send a body by transfer codings.
 fn codings(root: &Path, trouble: bool) -> bool {
-    let (upstreams, ready) = upstreams();
+    let (upstreams, ready) = upstreams(30, Answers::Id);
     let discovery = Discovery::start("discovery", 41, ready.clone());
     let sidecars = sidecars(root, 3, USUAL, &discovery, &ready);
     let coded = [
@@ -796,6 +815,74 @@
     broken
 }
 
+/// What the process holds, in kB.
+fn memory(sidecar: &Sidecar) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{}/status", sidecar.child.as_ref()?.id())).ok()?;
+    status.lines().find_map(|line| line.strip_prefix("VmRSS:")?.trim().strip_suffix(" kB")?.parse().ok())
+}
+
+/// Clients that use less than a third of the descriptors send bodies of 63 kB at 64 kB a second to a sidecar with the least
+/// memory. The platform kills what is over its limit.
+fn least_memory(root: &Path, trouble: bool) -> bool {
+    const MEMORY_MB: u32 = 32;
+    const PIECE: usize = 3_000;
+    const PIECES: usize = 21;
+    let (_upstreams, ready) = upstreams(600, Answers::Much);
+    let discovery = Discovery::start("discovery", 41, ready.clone());
+    let limits = Limits { memory_mb: MEMORY_MB, sockets: 1_024 };
+    let mut sidecars = sidecars(root, 3, limits, &discovery, &ready);
+    let (to, end) = (sidecars[0].listen, now() + 30_000.0);
+    let over = Arc::new(AtomicBool::new(false));
+    let cut = Arc::new(AtomicU64::new(0));
+    for _ in 0..if trouble { 330 } else { 4 } {
+        let (over, cut) = (over.clone(), cut.clone());
+        spawn(move || {
+            while now() < end && !over.load(Ordering::SeqCst) {
+                let call = new_call(0);
+                let Ok(mut stream) = TcpStream::connect(to) else { return };
+                drop(stream.set_nodelay(true));
+                note(format_args!("a client sends {call} with {} bytes at 64 kB a second", PIECE * PIECES));
+                let head = format!(
+                    "POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Call-Id: {call}\r\nX-Call-Class: vydani-listu\r\n\
+                     X-Caller: mesto-horni\r\nX-Budget: 2.000\r\nTransfer-Encoding: chunked\r\n\r\n"
+                );
+                let mut goes_on = stream.write_all(head.as_bytes()).is_ok();
+                let piece = [format!("{PIECE:x}\r\n").as_bytes(), &[b'x'; PIECE], b"\r\n"].concat();
+                let begin = Instant::now();
+                for sent in 1..=PIECES {
+                    goes_on = goes_on && stream.write_all(&piece).is_ok();
+                    sleep(Duration::from_secs_f64((sent * PIECE) as f64 / 64_000.0).saturating_sub(begin.elapsed()));
+                }
+                drop(stream.write_all(b"0\r\n\r\n"));
+                let got = wait_for_answer(&mut stream, ms(3_000));
+                note(format_args!("{call} is {}", got.name()));
+                if over.load(Ordering::SeqCst) && !matches!(got, Got::Answer(_)) {
+                    cut.fetch_add(1, Ordering::SeqCst);
+                }
+            }
+        });
+    }
+    // The larger reading of a megabyte.
+    let (limit, mut most) = (u64::from(MEMORY_MB) * 1_024, 0);
+    while now() < end && most <= limit {
+        let held = memory(&sidecars[0]).expect("the sidecar runs");
+        if held > most {
+            most = held;
+            note(format_args!("n0 holds {held} kB of {limit} kB"));
+        }
+        sleep(ms(20));
+    }
+    note(format_args!("n0 has held {most} kB of {limit} kB"));
+    if most > limit {
+        over.store(true, Ordering::SeqCst);
+        sidecars[0].kill();
+        note("the platform has killed n0: it is over its memory");
+        sleep(ms(4_000));
+        note(format_args!("requests on their way that have no answer: {}", cut.load(Ordering::SeqCst)));
+    }
+    most > limit
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let [_, case, root, record] = arguments.as_slice() else {
@@ -818,6 +905,7 @@
         "uploads" => uploads,
         "idle" => idle_clients,
         "codings" => codings,
+        "memory" => least_memory,
         other => panic!("no case {other}"),
     };
     note(format_args!("{case}, {}", if trouble { "with the disruption" } else { "without the disruption" }));
