Clients have places for their third of the descriptors at any memory

Cause: who finds no place waits in the listener's queue. Half of the memory, at 48 KiB a connection, bounded all connections to 325, and clients had 216 of these where they use 341; with an inherited socket 69 to 74 of 85, whatever the memory.

Change: src/resources.rs divides descriptors and memory without I/O. A start logs the division.

--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -46,7 +46,6 @@
 use budget::Budget;
 use clap::Parser;
 use config::{Config, ConfigError};
-use connection::BUFFER;
 use control::Control;
 use driver::Driver;
 use handle::{Happening, Shutdown};
@@ -54,6 +53,7 @@
 use life::{Life, Presence};
 use listener::ListenError;
 use metrics::Metrics;
+use micapier::resources::Limits;
 use pool::ConnectionPool;
 use recent_ids::RecentIds;
 use server::{ClientLimits, Server};
@@ -74,9 +74,6 @@
 
 /// Descriptors for all that is no connection of the application or to upstreams: the listener, discovery, logs.
 const RESERVED: usize = 16;
-/// What the buffers of a connection in full use take: what is read ahead, what waits to be written, and a piece
-/// in between.
-const BUFFERS: usize = 3 * BUFFER;
 /// What is logged where `RUST_LOG` says nothing, or what can't be read.
 const LOGGED: &str = "warn,juniperspoke=info";
 /// After SIGTERM newcomers come for so long at least, and none for so long means that they have stopped.
@@ -150,6 +147,18 @@
     by.unwrap_or(now)
 }
 
+/// What this sidecar may hold. Where the platform holds the socket, an upgrade's other process may run beside this one.
+fn limits(config: &Config, is_inherited: bool) -> Limits {
+    let of_control = if config.control.is_some() { control::PLACES } else { 0 };
+    let of_fleet = if config.fleet.is_some() { fleet::PLACES } else { 0 };
+    Limits {
+        descriptors: config.sockets,
+        memory: config.memory,
+        reserved: RESERVED + of_control + of_fleet,
+        processes: if is_inherited { 2 } else { 1 },
+    }
+}
+
 /// What other processes of this sidecar have left. Without the file it serves all the same.
 fn open_shared_ids(dir: &Path, name: &str) -> Option<SharedIds> {
     let ids = SharedIds::open(dir, name);
@@ -160,9 +169,7 @@
     let none_by = none_came_by(inherited.is_some());
     let (mut term, hangup) = (signal(SignalKind::terminate())?, signal(SignalKind::hangup())?);
     let config = Arc::new(Config::from_env()?);
-    // Where the platform holds the socket, an upgrade's other process may run beside this one: half is its own.
     let shared = inherited.is_some();
-    let parts = if shared { 2 } else { 1 };
     let control = match config.control {
         Some(addr) => Some(listener::bind("control", addr).await?),
         None => None,
@@ -171,17 +178,16 @@
         Some(listener) => listener::wrap(listener)?,
         None => listener::bind("listen", config.listen).await?,
     };
-    let places = if control.is_some() { control::PLACES } else { 0 };
-    let places = places + if config.fleet.is_some() { fleet::PLACES } else { 0 };
-    let connections = (config.sockets / parts).saturating_sub(RESERVED + places);
-    let memory = config.memory / parts;
-    let connections = connections.min(memory / 2 / BUFFERS);
-    let budget = Budget::new(memory / 4);
-    // Clients use up to a third of all descriptors; where half is another's, that is more than half of ours.
-    let clients = (connections / 2).max((config.sockets / 3).min(connections * 2 / 3));
-    let upstreams = connections - clients;
+    let division = limits(&config, shared).divide();
+    tracing::info!(
+        clients = division.clients,
+        upstreams = division.upstreams,
+        body_bytes = division.bodies,
+        "places for connections, and room for bodies"
+    );
+    let budget = Budget::new(division.bodies);
     let (keep_alive, connect_timeout) = (config.settings.keep_alive, config.surroundings.connect_timeout);
-    let pool = ConnectionPool::new(upstreams.max(1), keep_alive, connect_timeout);
+    let pool = ConnectionPool::new(division.upstreams, keep_alive, connect_timeout);
     let metrics = Metrics::new(&config.surroundings.classes);
     let upstreams = Upstreams::new(pool, metrics.clone(), budget.clone());
     let subscribe = Arc::new(Notify::new());
@@ -208,7 +214,7 @@
         handle.clone(),
         life.clone(),
         metrics.clone(),
-        ClientLimits { connections: clients.max(1), budget },
+        ClientLimits { connections: division.clients, budget },
         RecentIds::new(shared_ids),
         heartbeat.clone(),
     );
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,6 +71,7 @@
 #[cfg(test)]
 mod memory_tests;
 pub mod names;
+pub mod resources;
 mod route;
 pub mod settings;
 pub mod staleness;
--- a/tests/harmful_clients.rs
+++ b/tests/harmful_clients.rs
@@ -6,7 +6,7 @@
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use std::io::{ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::{scope, sleep};
@@ -119,6 +119,8 @@
     assert_in_memory(&sidecar);
 }
 
+/// What a client is owed after its time, and by how much any limit is longer on sockets.
+const ANSWER_GRACE: Duration = Duration::from_millis(550);
 /// Bytes in each piece of a slow client's body, and the pause after it: together 64 kB a second.
 const SLOW_PIECE: usize = 3_000;
 const SLOW_PAUSE: Duration = Duration::from_millis(47);
@@ -179,6 +181,53 @@
     }
 }
 
+/// Begins long bodies, and leaves them open.
+fn begin_uploads(sidecar: &Sidecar, count: usize) -> Vec<TcpStream> {
+    let body = "x".repeat(512_000);
+    let begin = |_| {
+        let (mut client, text) = (sidecar.connect(), call("pay", 2.0).body(&body).text());
+        let left_out = body.len() - SLOW_PIECE;
+        client.write_all(&text.as_bytes()[..text.len() - left_out]).expect("written");
+        client
+    };
+    (0..count).map(begin).collect()
+}
+
+/// Guards against newcomers that wait unanswered behind others' slow bodies, though all clients use no more than their third of
+/// the descriptors: there were too few places (review 8).
+#[test]
+fn newcomers_are_answered_beside_slow_bodies_within_the_clients_third_of_the_descriptors() {
+    const NEWCOMERS: usize = 8;
+    const BUDGET: f64 = 0.8;
+    let upstreams = [(); 10].map(|()| Upstream::start(|_| ok("served")));
+    let upstreams = upstreams.each_ref();
+    for (descriptors, memory_mb, is_inherited) in
+        [(1_024, 32, false), (256, 32, false), (256, 64, true), (1_024, 64, true), (1_024, 32, true)]
+    {
+        let narrow = |config: &mut Value| {
+            config["limits"] = json!({"cores": 1.0, "memory_mb": memory_mb, "sockets": descriptors});
+        };
+        let socket = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let sidecar = match is_inherited {
+            true => Sidecar::inheriting(&socket, &upstreams, narrow),
+            false => Sidecar::with(&upstreams, narrow),
+        };
+        let uploads = begin_uploads(&sidecar, descriptors / 3 - NEWCOMERS);
+        let newcomers: Vec<_> =
+            (0..NEWCOMERS).map(|_| (Instant::now(), sidecar.send(&call("pay", BUDGET)))).collect();
+        for (since, mut newcomer) in newcomers {
+            let answer = Answer::try_read(&mut newcomer);
+            let took = since.elapsed();
+            let time = Duration::from_secs_f64(BUDGET) + ANSWER_GRACE;
+            assert!(
+                answer.is_some() && took < time,
+                "{descriptors}, {memory_mb} MB, {is_inherited}: {took:?}"
+            );
+        }
+        drop(uploads);
+    }
+}
+
 /// Guards against clients that come a second late, since the system has dropped their first segment: hundreds may come at
 /// once, and while the process is stopped.
 #[test]
