A body by any transfer coding but chunked alone runs nowhere

Cause: the HTTP library undoes the last coding alone; the sidecar drops Transfer-Encoding, as it frames the body anew, and with it what was said of the coding that is left. It never looked at the codings of a request.

Change: framing.rs reads them from the head. Chunked alone goes on; any other coding is answered 501, chunked twice 400, and the connection closes.

--- a/src/bin/juniperspoke/framing.rs
+++ b/src/bin/juniperspoke/framing.rs
@@ -1,6 +1,8 @@
 //! Where heads of requests begin and end in what a client sends, and which of them name both a length and chunked
 //! framing: the HTTP library drops the length of those, and with it the means to refuse them.
 
+use hyper::HeaderMap;
+use hyper::header::TRANSFER_ENCODING;
 use std::collections::VecDeque;
 
 /// So much of a line is looked at; the names and values that matter are shorter.
@@ -21,6 +23,38 @@
     Lost,
 }
 
+/// Why a request's body is not what its client meant, once the HTTP library has read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FramingFault {
+    /// Another reader may end it elsewhere.
+    LengthAndChunked,
+    /// The marks of the inner chunks are left in it.
+    ChunkedTwice,
+    /// It is left coded, and without the header that says so.
+    UnknownCoding,
+}
+
+impl FramingFault {
+    /// What is wrong with a head; the HTTP library has hidden from it whether it is twofold.
+    pub fn of(headers: &HeaderMap, is_twofold: bool) -> Option<FramingFault> {
+        if is_twofold {
+            return Some(FramingFault::LengthAndChunked);
+        }
+        let is_chunked = |coding: &[u8]| coding.eq_ignore_ascii_case(b"chunked");
+        if !transfer_codings(headers).all(is_chunked) {
+            return Some(FramingFault::UnknownCoding);
+        }
+        transfer_codings(headers).nth(1).map(|_| FramingFault::ChunkedTwice)
+    }
+}
+
+/// The transfer codings that a head names, on one line or several.
+fn transfer_codings(headers: &HeaderMap) -> impl Iterator<Item = &[u8]> {
+    let lines = headers.get_all(TRANSFER_ENCODING).iter();
+    let codings = lines.flat_map(|line| line.as_bytes().split(|&byte| byte == b','));
+    codings.map(<[u8]>::trim_ascii).filter(|coding| !coding.is_empty())
+}
+
 /// Follows one connection.
 pub struct Framing {
     at: At,
@@ -195,6 +229,30 @@
         }
     }
 
+    #[test]
+    fn a_body_is_sound_if_chunked_is_its_only_coding() {
+        let (unknown, twice) = (Some(FramingFault::UnknownCoding), Some(FramingFault::ChunkedTwice));
+        for (lines, fault) in [
+            (&[][..], None),
+            (&["chunked"], None),
+            (&[" , Chunked,"], None),
+            (&["gzip, chunked"], unknown),
+            (&["gzip", "chunked"], unknown),
+            (&["identity,chunked"], unknown),
+            (&["chunked, gzip, chunked"], unknown),
+            (&["chunked;level=1, chunked"], unknown),
+            (&["chunked, chunked"], twice),
+            (&["chunked", "CHUNKED"], twice),
+        ] {
+            let mut headers = HeaderMap::new();
+            for line in lines {
+                headers.append(TRANSFER_ENCODING, line.parse().expect("a value"));
+            }
+            assert_eq!(FramingFault::of(&headers, false), fault, "{lines:?}");
+            assert_eq!(FramingFault::of(&headers, true), Some(FramingFault::LengthAndChunked), "{lines:?}");
+        }
+    }
+
     #[test]
     fn a_head_is_in_progress_from_its_first_byte_to_its_last() {
         let mut framing = Framing::new();
--- a/src/bin/juniperspoke/server.rs
+++ b/src/bin/juniperspoke/server.rs
@@ -9,6 +9,7 @@
 use crate::client::ClientConnection;
 use crate::config::Config;
 use crate::connection::BUFFER;
+use crate::framing::FramingFault;
 use crate::handle::{Answer, Handle, Inbound};
 use crate::heartbeat::{Heartbeat, Looks};
 use crate::life::{Life, Stage};
@@ -264,8 +265,9 @@
                 self.used.fetch_add(1, Ordering::Relaxed);
             }
             begun.notify_one();
-            let (server, open, twofold) = (self.clone(), open.clone(), open.heads.next_is_twofold());
-            async move { Ok::<_, Infallible>(server.answer(request, &open, twofold, newcomer).await) }
+            let (server, open) = (self.clone(), open.clone());
+            let fault = FramingFault::of(request.headers(), open.heads.next_is_twofold());
+            async move { Ok::<_, Infallible>(server.answer(request, &open, fault, newcomer).await) }
         });
         let (mut life, mut closed) = (self.life.watch(), None);
         let (mut evicted, mut heard_out, mut ended) = (false, false, false);
@@ -332,7 +334,7 @@
 
     /// `newcomer` is when its connection came, if it is the first there.
     async fn answer(
-        &self, request: Request<Incoming>, on: &Arc<ClientConnection>, twofold: bool,
+        &self, request: Request<Incoming>, on: &Arc<ClientConnection>, fault: Option<FramingFault>,
         newcomer: Option<Instant>,
     ) -> Response<Reply> {
         let version = request.version();
@@ -347,7 +349,7 @@
                 let ready = self.driver.is_ready() && self.life.stage() == Stage::Serving;
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
-            _ => match self.read(request, on, twofold, newcomer).await {
+            _ => match self.read(request, on, fault, newcomer).await {
                 Ok((inbound, id)) => self.ask(inbound, id, on).await,
                 Err((status, why)) => {
                     tracing::debug!(status = status.as_u16(), why, "not taken");
@@ -361,8 +363,9 @@
         if self.life.stage() != Stage::Serving {
             on.heads.close();
         }
-        // Guards against dropping a request that has been read behind this one.
-        if twofold || on.heads.is_closing() && !on.heads.has_next() {
+        // Guards against reading on behind a body that may have ended elsewhere, and against dropping a request that has
+        // been read behind this one.
+        if fault.is_some() || on.heads.is_closing() && !on.heads.has_next() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -425,13 +428,14 @@
 
     /// Guards against requests that can't be read: they are answered as failed, and go nowhere.
     async fn read(
-        &self, request: Request<Incoming>, on: &ClientConnection, twofold: bool, newcomer: Option<Instant>,
+        &self, request: Request<Incoming>, on: &ClientConnection, fault: Option<FramingFault>,
+        newcomer: Option<Instant>,
     ) -> Result<(Inbound, OpenId), Improper> {
         let (head, body) = request.into_parts();
         let bad = |why| (StatusCode::BAD_REQUEST, why);
-        // Guards against a second request hidden in the body of the first.
-        if twofold {
-            return Err(bad("both a length and chunked framing"));
+        // Guards against a second request hidden in the body of the first, and against running what no client sent.
+        if let Some(fault) = fault {
+            return Err(badly_framed(fault));
         }
         if ONCE.iter().any(|name| head.headers.get_all(*name).iter().nth(1).is_some()) {
             return Err(bad("a header twice"));
@@ -490,6 +494,15 @@
     }
 }
 
+/// What a client is answered whose body is not passed on for what it says of its framing.
+fn badly_framed(fault: FramingFault) -> Improper {
+    match fault {
+        FramingFault::LengthAndChunked => (StatusCode::BAD_REQUEST, "both a length and chunked framing"),
+        FramingFault::ChunkedTwice => (StatusCode::BAD_REQUEST, "chunked twice"),
+        FramingFault::UnknownCoding => (StatusCode::NOT_IMPLEMENTED, "an unknown transfer coding"),
+    }
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     std::str::from_utf8(headers.get(name)?.as_bytes()).ok()
 }
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -267,6 +267,37 @@
     assert_eq!(sidecar.ask(&call("pay", 5.0)).status, 200);
 }
 
+/// Guards against a body that runs though no client sent it: of two transfer codings the inner one was left on the body, and
+/// its header was dropped (review 9).
+#[test]
+fn a_body_by_any_coding_but_chunked_alone_runs_nowhere_and_its_connection_closes() {
+    const CHUNKS: &str = "e\r\n4\r\nbody\r\n0\r\n\r\n\r\n0\r\n\r\n";
+    let (upstream, sidecar) = served(with_door);
+    for (codings, status) in [
+        ("Transfer-Encoding: gzip, chunked", 501),
+        ("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", 501),
+        ("Transfer-Encoding: identity, chunked", 501),
+        ("Transfer-Encoding: chunked, chunked", 400),
+        ("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", 400),
+        ("Transfer-Encoding: chunked, gzip", 400),
+        ("Transfer-Encoding: ", 400),
+    ] {
+        let next = call("pay", 5.0).text();
+        let said = all_of(send(&sidecar, &format!("{}{codings}\r\n\r\n{CHUNKS}{next}", head())));
+        assert!(said.starts_with(&format!("HTTP/1.1 {status} ")), "{codings}: {said}");
+        assert_eq!(said.matches("HTTP/1.1 ").count(), 1, "{codings}: {said}");
+    }
+    assert!(upstream.requests().is_empty(), "{:?}", upstream.requests());
+    assert_eq!(sidecar.figure("backend_calls"), 0);
+    // Empty members of a list mean nothing.
+    let said = all_of(send(
+        &sidecar,
+        &format!("{}Connection: close\r\nTransfer-Encoding: , Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", head()),
+    ));
+    assert!(said.starts_with("HTTP/1.1 200 "), "{said}");
+    assert_eq!(upstream.requests()[0].body, "body");
+}
+
 #[test]
 fn a_legal_slow_client_is_served_and_its_time_runs_from_its_last_byte() {
     let (_upstream, sidecar) = answered(|seen| ok(&seen.body.len().to_string()), |_| {});
