Short bodies are read into small buffers, which are not cleared first

Callers saw: a sidecar of 32 MB with 330 slow clients held more than its memory.

Cause: the HTTP library's buffers double with each read that fills them, and it reads into a second one while a piece out of the first waits to be taken. By a heap profile each of 150 connections to upstreams had 41 KB of them. Besides, each read first cleared the buffer, up to 16 KiB, so that pages were taken that nothing was read into.

Change: sockets are read into memory that is not cleared. Of the first 64 KiB that come in a row less than 8 KiB are read at a time, which leaves the buffers at the size that the library begins with; long bodies go on in large reads. The division of descriptors and memory is unchanged.

--- a/src/bin/juniperspoke/main.rs
+++ b/src/bin/juniperspoke/main.rs
@@ -30,6 +30,7 @@
 mod peer;
 mod pieces;
 mod pool;
+mod read_sizes;
 mod recent_ids;
 mod reply;
 mod server;
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -5,11 +5,13 @@
 use crate::framing::Framing;
 use crate::heartbeat::Looks;
 use crate::leaving::Ended;
+use crate::read_sizes::ReadSizes;
 use crate::shortage::Shortage;
 use crate::system::{is_shortage, read_what_has_come, retry_interrupted};
 use crate::tcp_info::{self, PeerEnd};
 use crate::turns::Turns;
 use crate::write_gate::WriteGate;
+use bytes::BufMut;
 use micapier::staleness::{ORDINARY_GAP, Unread};
 use micapier::streaming::STALL;
 use socket2::SockRef;
@@ -291,6 +293,7 @@
     read_shortage: Shortage,
     write_shortage: Shortage,
     turns: Turns,
+    read_sizes: ReadSizes,
     /// Begun once nothing more is written.
     linger: Linger,
 }
@@ -314,26 +317,37 @@
     fn new(stream: Arc<TcpStream>, reading: Option<Patience>, gate: Arc<WriteGate>) -> Peer {
         let (writing, write_blocked, linger) = Default::default();
         let (read_shortage, write_shortage) = Default::default();
-        let turns = Turns::default();
-        Peer { stream, writing, write_blocked, reading, gate, read_shortage, write_shortage, turns, linger }
+        let (turns, read_sizes) = Default::default();
+        Peer {
+            stream,
+            writing,
+            write_blocked,
+            reading,
+            gate,
+            read_shortage,
+            write_shortage,
+            turns,
+            read_sizes,
+            linger,
+        }
     }
 
     /// Reads what there is, up to so much; nothing at the end. Tells when the socket itself says that there is nothing.
+    /// The rest of the buffer is not cleared: that would take time at each read, and memory for pages that nothing is read
+    /// into.
     fn poll_bytes(
         stream: &TcpStream, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>, most: usize,
         shortage: &mut Shortage, mut found_empty: impl FnMut(Instant),
     ) -> Poll<io::Result<()>> {
-        let most = most.min(buffer.remaining());
+        let mut part = buffer.limit(most);
         loop {
             ready!(shortage.poll_pause(context));
             ready!(stream.poll_read_ready(context))?;
-            let bytes = buffer.initialize_unfilled_to(most);
             // Before the call: something may come right behind it.
             let asked_at = Instant::now();
-            match retry_interrupted(|| stream.try_read(bytes)) {
-                Ok(count) => {
+            match retry_interrupted(|| stream.try_read_buf(&mut part)) {
+                Ok(_) => {
                     shortage.over();
-                    buffer.advance(count);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => found_empty(asked_at),
@@ -362,6 +376,7 @@
             match retry_interrupted(|| write(&self.stream)) {
                 Ok(count) => {
                     self.gate.note_written();
+                    self.read_sizes.note_written();
                     self.write_shortage.over();
                     return Poll::Ready(Ok(count));
                 }
@@ -391,17 +406,19 @@
     ) -> Poll<io::Result<()>> {
         let peer = self.get_mut();
         let before = buffer.filled().len();
+        let most = peer.read_sizes.most();
         let turn = peer.turns.poll_next(context);
         let Some(Patience { heads, limit, first_by }) = &mut peer.reading else {
             ready!(turn);
             let shortage = &mut peer.read_shortage;
-            let done = Peer::poll_bytes(&peer.stream, context, buffer, usize::MAX, shortage, |_| ());
+            let done = Peer::poll_bytes(&peer.stream, context, buffer, most, shortage, |_| ());
+            peer.read_sizes.note_read(buffer.filled().len() - before);
             peer.turns.note(&done);
             return done;
         };
         let Known { framing, arrivals, read } = &mut *heads.known();
         let found_empty = |at| arrivals.found_empty(at);
-        let (room, shortage) = (framing.room(), &mut peer.read_shortage);
+        let (room, shortage) = (framing.room().min(most), &mut peer.read_shortage);
         let done = match turn {
             Poll::Ready(()) => Peer::poll_bytes(&peer.stream, context, buffer, room, shortage, found_empty),
             Poll::Pending => Poll::Pending,
@@ -421,7 +438,9 @@
         }
         if done.is_ready() {
             let heads = framing.heads();
-            *read += (buffer.filled().len() - before) as u64;
+            let count = buffer.filled().len() - before;
+            *read += count as u64;
+            peer.read_sizes.note_read(count);
             framing.read(&buffer.filled()[before..]);
             if framing.heads() > 0 {
                 *first_by = None;
