--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -49,7 +49,7 @@
         for _ in 0..24 {
             scope.spawn(|| {
                 let answer = sidecar.ask(&call("pay", 20.0).body(&body));
-                assert_eq!(answer.status, 200);
+                assert_eq!(answer.status, 200, "{}", answer.body);
                 assert!(answer.body == body, "{} of {LONG} bytes", answer.body.len());
             });
         }
