Lists are read in large pieces again, as soon as they have come

Callers saw (never landed): requests that came while a process was stopped went to a server whose drain had been told meanwhile.

A list of 400 entries took a turn of the event loop more, in which the requests were sent on.

Change: small reads are for the connections of which there are many, to clients and upstreams. Those to discovery and the control plane keep large ones.

--- a/src/bin/juniperspoke/connection.rs
+++ b/src/bin/juniperspoke/connection.rs
@@ -1,6 +1,7 @@
 //! Connections that the sidecar makes: to upstreams, to discovery and to the control plane.
 
 use crate::peer::Peer;
+use crate::read_sizes::ReadSizes;
 use crate::system::is_local;
 use crate::write_gate::WriteGate;
 use hyper::body::Body;
@@ -48,13 +49,15 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     /// `place` is kept until the socket has closed.
-    pub async fn open(addr: SocketAddr, place: impl Send + 'static) -> Result<Self, OpenError> {
+    pub async fn open(
+        addr: SocketAddr, place: impl Send + 'static, read_sizes: ReadSizes,
+    ) -> Result<Self, OpenError> {
         let socket = if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() };
         let connected = socket.map_err(OpenError::Ours)?.connect(addr).await;
         let stream = connected.map_err(OpenError::of_connect)?;
         stream.set_nodelay(true).map_err(OpenError::Theirs)?;
         let (mut http, gate) = (http1::Builder::new(), Arc::<WriteGate>::default());
-        let peer = Peer::upstream(stream, gate.clone());
+        let peer = Peer::server(stream, gate.clone(), read_sizes);
         let handshake = http.max_buf_size(BUFFER).handshake(TokioIo::new(peer));
         let (sender, connection) =
             handshake.await.map_err(|error| OpenError::Theirs(io::Error::other(error)))?;
--- a/src/bin/juniperspoke/discovery.rs
+++ b/src/bin/juniperspoke/discovery.rs
@@ -6,6 +6,7 @@
 use crate::handle::{Handle, Happening};
 use crate::instances::Instances;
 use crate::list::{self, ListError, News};
+use crate::read_sizes::ReadSizes;
 use crate::system::wait_until;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -361,7 +362,9 @@
     let mut connection = match kept {
         Some(kept) if !kept.sender.is_closed() => kept,
         _ => {
-            let opened = wait_until(Instant::now() + CONNECT, pin!(TcpConnection::open(addr, ()))).await;
+            let opened =
+                wait_until(Instant::now() + CONNECT, pin!(TcpConnection::open(addr, (), ReadSizes::large())))
+                    .await;
             opened.ok_or(CallError::Unreachable)?.map_err(CallError::Connect)?
         }
     };
--- a/src/bin/juniperspoke/fleet.rs
+++ b/src/bin/juniperspoke/fleet.rs
@@ -6,6 +6,7 @@
 use crate::connection::TcpConnection;
 use crate::handle::{Handle, Happening};
 use crate::instances::Instances;
+use crate::read_sizes::ReadSizes;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode};
@@ -46,7 +47,7 @@
     ) -> Result<(StatusCode, Bytes), CallError> {
         let mut connection = match self.0.take() {
             Some((addr, kept)) if addr == to && !kept.sender.is_closed() => kept,
-            _ => TcpConnection::open(to, ()).await.map_err(CallError::Connect)?,
+            _ => TcpConnection::open(to, (), ReadSizes::large()).await.map_err(CallError::Connect)?,
         };
         let request = request.header("Host", to.to_string()).body(Full::new(Bytes::from(body)))?;
         connection.sender.ready().await?;
--- a/src/bin/juniperspoke/peer.rs
+++ b/src/bin/juniperspoke/peer.rs
@@ -299,8 +299,9 @@
 }
 
 impl Peer {
-    pub fn upstream(stream: TcpStream, gate: Arc<WriteGate>) -> Peer {
-        Peer::new(Arc::new(stream), None, gate)
+    /// A server that we ask.
+    pub fn server(stream: TcpStream, gate: Arc<WriteGate>, read_sizes: ReadSizes) -> Peer {
+        Peer::new(Arc::new(stream), None, gate, read_sizes)
     }
 
     pub fn client(stream: TcpStream, looks: Looks) -> (Peer, Heads, Socket) {
@@ -308,16 +309,18 @@
         let heads = Heads::new(stream.clone(), looks.clone());
         let first_by = Some(Instant::now() + HEAD_PATIENCE);
         let reading = Patience { heads: heads.clone(), limit: Limit::default(), first_by };
-        let peer = Peer::new(stream.clone(), Some(reading), Arc::default());
+        let peer = Peer::new(stream.clone(), Some(reading), Arc::default(), ReadSizes::small_first());
         let (write_blocked, open_at) = (peer.write_blocked.clone(), Mutex::new(looks.latest()));
         let socket = Socket { stream, write_blocked, looks, open_at };
         (peer, heads, socket)
     }
 
-    fn new(stream: Arc<TcpStream>, reading: Option<Patience>, gate: Arc<WriteGate>) -> Peer {
+    fn new(
+        stream: Arc<TcpStream>, reading: Option<Patience>, gate: Arc<WriteGate>, read_sizes: ReadSizes,
+    ) -> Peer {
         let (writing, write_blocked, linger) = Default::default();
         let (read_shortage, write_shortage) = Default::default();
-        let (turns, read_sizes) = Default::default();
+        let turns = Turns::default();
         Peer {
             stream,
             writing,
@@ -533,7 +536,7 @@
     async fn a_request_that_waits_for_room_is_asked_about_again_before_its_first_byte() {
         let (gate, holds) = (Arc::<WriteGate>::default(), Arc::new(AtomicBool::new(true)));
         let (upstream, connected) = pair().await;
-        let mut peer = Peer::upstream(connected, gate.clone());
+        let mut peer = Peer::server(connected, gate.clone(), ReadSizes::small_first());
         let at_once = Duration::from_millis(50);
         // Of a request that was answered before all of it was read. The runtime does not know that there is no more room.
         while SockRef::from(&*peer.stream).send(&[0; 65_536]).is_ok() {}
@@ -558,7 +561,7 @@
     #[tokio::test]
     async fn after_a_short_read_the_socket_is_asked_again_without_an_event() {
         let (client, accepted) = pair().await;
-        let mut peer = Peer::upstream(accepted, Arc::default());
+        let mut peer = Peer::server(accepted, Arc::default(), ReadSizes::small_first());
         let mut bytes = [0; 99];
         client.try_write(b"part").expect("written");
         assert_eq!(peer.read(&mut bytes).await.expect("some"), 4);
--- a/src/bin/juniperspoke/pool.rs
+++ b/src/bin/juniperspoke/pool.rs
@@ -6,6 +6,7 @@
 use crate::bodies::Outgoing;
 use crate::connection::{OpenError, TcpConnection};
 use crate::idle::IdleLimit;
+use crate::read_sizes::ReadSizes;
 use crate::system::{read_what_has_come, wait_until};
 use micapier::api::Outcome;
 use std::collections::HashMap;
@@ -143,7 +144,7 @@
         let slot = self.slot().await.ok_or(Outcome::Moot)?;
         let since = Instant::now();
         let by = by.min(since + self.connect_timeout);
-        let opened = wait_until(by, pin!(TcpConnection::open(addr, slot))).await;
+        let opened = wait_until(by, pin!(TcpConnection::open(addr, slot, ReadSizes::small_first()))).await;
         let opened = opened.ok_or_else(|| self.waited_in_vain(addr, since))?;
         let mut connection = match opened {
             Err(OpenError::Ours(_)) => return Err(Outcome::Moot),
